--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(BIN)/capacity
 
 # Packages with model-based tests, and packages with fuzz targets.
-MODELS := replication storage catalog lease claim job startgate admission
+MODELS := replication storage catalog lease claim tracker startgate admission
 SOAK_SECONDS ?= 120
 FUZZ_SECONDS ?= 20
 
--- a/internal/process/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -6,7 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/clock"
 )
 
 func TestClock(t *testing.T) {
--- a/internal/connection/session/handshake.go
+++ b/internal/connection/session/handshake.go
@@ -14,9 +14,9 @@
 	"github.com/fasthttp/websocket"
 	"github.com/valyala/fasthttp"
 
-	"pollenpaddle/internal/connection/ring"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/ring"
 )
 
 // Path returns the HTTP path on which a process accepts sessions for one of its roles.
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -16,9 +16,9 @@
 	"github.com/fasthttp/websocket"
 	"golang.org/x/sync/errgroup"
 
-	"pollenpaddle/internal/connection/ring"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/ring"
 )
 
 const (
--- a/internal/connection/wire/bench_test.go
+++ b/internal/connection/wire/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // startBatch returns n Start messages with a body of 200 bytes.
--- a/internal/connection/wire/claim.go
+++ b/internal/connection/wire/claim.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // Types of the messages between entries: 50 to 59.
--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // ProtocolVersion is sent in the handshake; processes of different versions refuse each other.
--- a/internal/connection/wire/run.go
+++ b/internal/connection/wire/run.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // The message types for runs of restartable tasks.
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -16,7 +16,7 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/testutil"
 )
 
--- /dev/null
+++ b/internal/model/job/suite_test.go
@@ -0,0 +1,13 @@
+package job_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestJob(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "job")
+}
--- a/internal/request/job/validate_test.go
+++ b/internal/model/job/validate_test.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // version7 is a UUID that carries the time 0x0188_0000_0000 ms.
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/configfeed"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/process/loop"
--- a/internal/process/agent/agent_test.go
+++ b/internal/process/agent/agent_test.go
@@ -16,11 +16,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/workerhost"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/startgate"
 	"pollenpaddle/internal/standin"
 	"pollenpaddle/internal/version/catalog"
--- a/internal/process/agent/caller.go
+++ b/internal/process/agent/caller.go
@@ -8,10 +8,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/workerhost"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/startgate"
 )
 
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/request/runner"
 	"pollenpaddle/internal/request/startgate"
 )
--- a/internal/process/agent/runs.go
+++ b/internal/process/agent/runs.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/runner"
 	"pollenpaddle/internal/request/startgate"
--- a/internal/process/agent/upstream.go
+++ b/internal/process/agent/upstream.go
@@ -12,9 +12,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/httpapi"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/startgate"
--- a/internal/process/agent/usage.go
+++ b/internal/process/agent/usage.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/process/workerhost"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/startgate"
 )
 
--- a/internal/process/configfeed/configfeed.go
+++ b/internal/process/configfeed/configfeed.go
@@ -12,9 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/version/catalog"
 	"pollenpaddle/internal/version/lease"
 )
--- a/internal/process/configfeed/configfeed_test.go
+++ b/internal/process/configfeed/configfeed_test.go
@@ -11,10 +11,10 @@
 	"github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/configfeed"
 	"pollenpaddle/internal/version/catalog"
 )
--- a/internal/process/control/bench_test.go
+++ b/internal/process/control/bench_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/onsi/gomega"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -15,11 +15,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/process/admin"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/process/loop"
 	"pollenpaddle/internal/version/catalog"
--- a/internal/process/control/control_test.go
+++ b/internal/process/control/control_test.go
@@ -9,9 +9,9 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/control"
 	"pollenpaddle/internal/version/catalog"
 	"pollenpaddle/internal/version/lease"
--- a/internal/process/control/directory.go
+++ b/internal/process/control/directory.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/version/catalog"
 	"pollenpaddle/internal/version/lease"
--- a/internal/process/control/links.go
+++ b/internal/process/control/links.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/version/replication"
 )
 
--- a/internal/process/control/suite_test.go
+++ b/internal/process/control/suite_test.go
@@ -14,9 +14,9 @@
 	"github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/configfeed"
 	"pollenpaddle/internal/process/control"
 	"pollenpaddle/internal/version/catalog"
--- a/internal/process/entry/body.go
+++ b/internal/process/entry/body.go
@@ -10,8 +10,9 @@
 	"github.com/google/uuid"
 
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/auth"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 // SubmissionBody is the JSON body of POST /v1/jobs.
@@ -169,14 +170,14 @@
 	return task, nil
 }
 
-func toAnswer(view *job.View) *AnswerBody {
+func toAnswer(view *tracker.View) *AnswerBody {
 	state := view.Phase
-	if state == job.Claiming {
-		state = job.Running
+	if state == tracker.Claiming {
+		state = tracker.Running
 	}
 	body := &AnswerBody{
 		ID: view.Key.ID, Organisation: view.Key.Organisation, Class: view.Class, SubmittedAt: view.SubmittedAt,
-		State: state.String(), Complete: state == job.Complete, Cancelled: view.Cancelled, Count: len(view.Results),
+		State: state.String(), Complete: state == tracker.Complete, Cancelled: view.Cancelled, Count: len(view.Results),
 		Tasks: make([]ResultBody, len(view.Results)),
 	}
 	for i := range view.Results {
--- a/internal/process/entry/cluster_test.go
+++ b/internal/process/entry/cluster_test.go
@@ -10,8 +10,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 )
 
 var _ = ginkgo.Describe("Several entries", func() {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -19,19 +19,20 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/admin"
 	"pollenpaddle/internal/process/auth"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/configfeed"
 	"pollenpaddle/internal/process/httpapi"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/process/loop"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 	"pollenpaddle/internal/version/catalog"
 )
 
@@ -91,16 +92,16 @@
 	stepping  bool
 	claimant  *claim.Claimant
 	registrar *claim.Registrar
-	tracker   *job.Tracker
+	tracker   *tracker.Tracker
 	catalog   *catalog.State
 	// entryChanges is an upper bound on how often the list of entries has changed.
 	entryChanges uint64
 	agents       map[dispatch.AgentID]*session.Session
 	peers        map[wire.Claimant]*session.Session
 	dials        map[string]dial // by entry id
-	waiters      map[job.Token]*waiter
-	lastToken    job.Token
-	served       map[servedID]job.Token
+	waiters      map[tracker.Token]*waiter
+	lastToken    tracker.Token
+	served       map[servedID]tracker.Token
 	remote       remoteQueries
 	lookups      map[job.Key]*lookup
 	cancels      map[job.Key]bool // jobs to cancel once their claim is granted
@@ -144,11 +145,11 @@
 			AvailabilityZone: config.Identity.AvailabilityZone,
 		}),
 		claimant: claim.NewClaimant(claim.ClaimantConfig{Seed: config.Identity.Incarnation, Timeout: config.ClaimTimeout}),
-		tracker: job.NewTracker(job.TrackerConfig{
+		tracker: tracker.New(tracker.Config{
 			ResultRetention: config.ResultRetention, ClaimRetention: config.ClaimRetention,
 		}),
 		agents: map[dispatch.AgentID]*session.Session{}, peers: map[wire.Claimant]*session.Session{},
-		dials: map[string]dial{}, waiters: map[job.Token]*waiter{}, served: map[servedID]job.Token{},
+		dials: map[string]dial{}, waiters: map[tracker.Token]*waiter{}, served: map[servedID]tracker.Token{},
 		remote: newRemoteQueries(), lookups: map[job.Key]*lookup{}, cancels: map[job.Key]bool{},
 		outcomes: map[job.Key]time.Duration{}, jobs: newRestartable(config.Identity),
 	}
--- a/internal/process/entry/events.go
+++ b/internal/process/entry/events.go
@@ -8,11 +8,12 @@
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/scheduler"
+	"pollenpaddle/internal/request/tracker"
 	"pollenpaddle/internal/version/catalog"
 )
 
@@ -37,7 +38,7 @@
 		submission *job.Submission
 		generated  bool
 		reply      chan<- answer
-		token      chan<- job.Token
+		token      chan<- tracker.Token
 	}
 	// asked is a look-up or cancellation of a job.
 	asked struct {
@@ -45,10 +46,10 @@
 		wait   bool // for the end of the job
 		cancel bool
 		reply  chan<- answer
-		token  chan<- job.Token
+		token  chan<- tracker.Token
 	}
 	// waitEnded asks to answer a waiter now, or as soon as its claim is decided.
-	waitEnded struct{ token job.Token }
+	waitEnded struct{ token tracker.Token }
 	// inspect asks for a copy of the state.
 	inspect struct{ reply chan<- *Snapshot }
 )
@@ -206,7 +207,7 @@
 
 func (e *Entry) taskFinished(action dispatch.TaskFinished) {
 	e.metrics.tasks.WithLabelValues(action.Result.State.String()).Inc()
-	if action.RetryAfter > 0 && e.tracker.Look(action.Key, 0) == job.Active {
+	if action.RetryAfter > 0 && e.tracker.Look(action.Key, 0) == tracker.Active {
 		e.outcomes[action.Key] = max(e.outcomes[action.Key], action.RetryAfter)
 	}
 	ended, tokens := e.tracker.Finish(e.config.Now().Boot, action.Key, action.Task, action.Result)
@@ -305,7 +306,7 @@
 }
 
 // answerCut answers waiters whose wait was over before the claim was decided.
-func (e *Entry) answerCut(key job.Key, tokens []job.Token) {
+func (e *Entry) answerCut(key job.Key, tokens []tracker.Token) {
 	if len(tokens) == 0 {
 		return
 	}
--- a/internal/process/entry/harness_test.go
+++ b/internal/process/entry/harness_test.go
@@ -19,13 +19,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/auth"
-	"pollenpaddle/internal/process/clock"
 	"pollenpaddle/internal/process/entry"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/process/entry/http.go
+++ b/internal/process/entry/http.go
@@ -7,9 +7,10 @@
 	"github.com/valyala/fasthttp"
 
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/auth"
 	"pollenpaddle/internal/process/httpapi"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 func (e *Entry) authenticate(ctx *fasthttp.RequestCtx) (auth.Principal, error) {
@@ -65,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	reply, token := make(chan answer, 1), make(chan job.Token, 1)
+	reply, token := make(chan answer, 1), make(chan tracker.Token, 1)
 	question := asked{
 		key: job.Key{Organisation: organisation, ID: id}, wait: wait > 0, cancel: cancel, reply: reply, token: token,
 	}
@@ -98,7 +99,7 @@
 
 // submitAndWait hands a submission to the loop and returns its answer.
 func (e *Entry) submitAndWait(s *job.Submission, generated bool, wait time.Duration) (answer, error) {
-	reply, token := make(chan answer, 1), make(chan job.Token, 1)
+	reply, token := make(chan answer, 1), make(chan tracker.Token, 1)
 	if !e.loop.TryPost(submitted{submission: s, generated: generated, reply: reply, token: token}) {
 		return answer{}, errBusy()
 	}
@@ -107,7 +108,7 @@
 
 // await returns the loop's answer. When the wait is over, the loop answers with what is known by
 // then; only the claim of a new job, which takes bounded time, is always waited for.
-func (e *Entry) await(reply <-chan answer, token <-chan job.Token, wait time.Duration) (answer, error) {
+func (e *Entry) await(reply <-chan answer, token <-chan tracker.Token, wait time.Duration) (answer, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -151,9 +152,9 @@
 }
 
 // writeView answers with a job: 200 if it has ended, 202 if it is running.
-func writeView(ctx *fasthttp.RequestCtx, view *job.View) {
+func writeView(ctx *fasthttp.RequestCtx, view *tracker.View) {
 	status := fasthttp.StatusOK
-	if view.Phase <= job.Running {
+	if view.Phase <= tracker.Running {
 		status = fasthttp.StatusAccepted
 	}
 	httpapi.WriteJSON(ctx, status, toAnswer(view))
--- a/internal/process/entry/http_test.go
+++ b/internal/process/entry/http_test.go
@@ -9,8 +9,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/entry"
-	"pollenpaddle/internal/request/job"
 )
 
 var _ = ginkgo.Describe("The HTTP API of one entry", func() {
--- a/internal/process/entry/internal_test.go
+++ b/internal/process/entry/internal_test.go
@@ -11,9 +11,10 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/auth"
 	"pollenpaddle/internal/process/httpapi"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 	"pollenpaddle/internal/version/catalog"
 )
 
@@ -54,7 +55,7 @@
 // TestPaging guards against results that lose or repeat bytes when they are handed over in parts.
 func TestPaging(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		view := &job.View{Phase: job.Complete, Class: "c", SubmittedAt: 5}
+		view := &tracker.View{Phase: tracker.Complete, Class: "c", SubmittedAt: 5}
 		for range rapid.IntRange(1, 6).Draw(t, "tasks") {
 			size := rapid.SampledFrom([]int{0, 1, wire.MaxReplyBytes - 1, wire.MaxReplyBytes, wire.MaxReplyBytes + 1, 5 * wire.MaxReplyBytes / 2}).Draw(t, "size")
 			r := job.Result{State: job.Done, Status: 200, Headers: []job.Header{{Name: "A", Value: "b"}}}
@@ -64,7 +65,7 @@
 			}
 			view.Results = append(view.Results, r)
 		}
-		got := &job.View{Results: make([]job.Result, len(view.Results))}
+		got := &tracker.View{Results: make([]job.Result, len(view.Results))}
 		var position wire.JobPosition
 		for rounds := 0; position.Task < len(view.Results); rounds++ {
 			reply := replyFrom(view, position)
--- a/internal/process/entry/lookup.go
+++ b/internal/process/entry/lookup.go
@@ -6,8 +6,9 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 	"pollenpaddle/internal/version/catalog"
 )
 
@@ -24,7 +25,7 @@
 }
 
 type lookupWaiter struct {
-	token  job.Token
+	token  tracker.Token
 	cancel bool
 }
 
@@ -35,19 +36,19 @@
 	at := e.config.Now()
 	e.tracker.Advance(at.Boot, at.Wall)
 	switch e.tracker.Look(a.key, 0) {
-	case job.Active:
+	case tracker.Active:
 		if a.cancel {
 			e.cancelTracked(a.key)
 		}
 		e.waitFor(token)
-	case job.Dropped:
+	case tracker.Dropped:
 		e.answer(token, answer{err: errDropped(a.key.ID)})
 	default:
 		e.lookUp(token, a)
 	}
 }
 
-func (e *Entry) lookUp(token job.Token, a asked) {
+func (e *Entry) lookUp(token tracker.Token, a asked) {
 	if e.catalog == nil {
 		e.answer(token, answer{err: failure.New(failure.Unavailable, "retry later", "the entry has no configuration yet").After(time.Second)})
 		return
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -6,11 +6,11 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/scheduler"
+	"pollenpaddle/internal/request/tracker"
 )
 
 // Snapshot is a copy of the entry's state for dumps and metrics.
@@ -18,7 +18,7 @@
 	QueuedEvents  int
 	Draining      bool
 	Revision      uint64
-	Jobs          job.Stats
+	Jobs          tracker.Stats
 	Waiters       int
 	PendingClaims int
 	RemoteQueries int
--- a/internal/process/entry/query.go
+++ b/internal/process/entry/query.go
@@ -2,8 +2,9 @@
 
 import (
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 // servedID identifies a query of another entry.
@@ -31,11 +32,11 @@
 	e.tracker.Advance(at.Boot, at.Wall)
 	query := &servedQuery{id: id, message: m}
 	switch e.tracker.Look(m.Key, m.SubmittedAt) {
-	case job.Active:
-	case job.Dropped, job.TooOld:
+	case tracker.Active:
+	case tracker.Dropped, tracker.TooOld:
 		e.reply(query, &wire.JobReply{Outcome: wire.JobDropped})
 		return
-	case job.Unknown:
+	case tracker.Unknown:
 		// Whatever is left of this entry's claim stems from attempts that it has given up.
 		e.stepClaims(claim.Disowned{Key: m.Key, SubmittedAt: m.SubmittedAt})
 		e.reply(query, &wire.JobReply{Outcome: wire.JobNotOwned})
@@ -57,7 +58,7 @@
 
 // cancelTracked cancels a job that runs here, or will once its claim is granted.
 func (e *Entry) cancelTracked(key job.Key) {
-	if view := e.tracker.View(key); view != nil && view.Phase == job.Claiming {
+	if view := e.tracker.View(key); view != nil && view.Phase == tracker.Claiming {
 		e.cancels[key] = true
 		return
 	}
@@ -83,12 +84,12 @@
 
 // replyFrom describes a job. Results of a finished job start at the given position and end when
 // the reply is full.
-func replyFrom(view *job.View, from wire.JobPosition) *wire.JobReply {
+func replyFrom(view *tracker.View, from wire.JobPosition) *wire.JobReply {
 	reply := &wire.JobReply{
 		Outcome: wire.JobRunning, Class: view.Class, SubmittedAt: view.SubmittedAt, Count: len(view.Results),
 		Next: wire.JobPosition{Task: len(view.Results)},
 	}
-	if view.Phase <= job.Running {
+	if view.Phase <= tracker.Running {
 		for i := range view.Results {
 			reply.Parts = append(reply.Parts, wire.JobPart{Task: i, Result: job.Result{State: view.Results[i].State}})
 		}
--- a/internal/process/entry/remote.go
+++ b/internal/process/entry/remote.go
@@ -7,8 +7,9 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/logging"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 // ownerTimeout is how long the owner of a job may be out of reach before its job is answered as
@@ -21,11 +22,11 @@
 // remoteQuery is a question to the entry that owns a job, on behalf of one waiter.
 type remoteQuery struct {
 	id          uint64
-	token       job.Token
+	token       tracker.Token
 	owner       wire.Claimant
 	submittedAt int64
 	cancel      bool
-	view        *job.View     // results so far
+	view        *tracker.View // results so far
 	deadline    time.Duration // for a session with the owner, while there is none
 }
 
@@ -33,7 +34,7 @@
 type remoteQueries struct {
 	last    uint64
 	byID    map[uint64]*remoteQuery
-	byToken map[job.Token]*remoteQuery
+	byToken map[tracker.Token]*remoteQuery
 	offline map[uint64]*remoteQuery         // those without a session with the owner
 	lost    map[wire.Claimant]time.Duration // when the session with an entry ended
 }
@@ -43,7 +44,7 @@
 
 func newRemoteQueries() remoteQueries {
 	return remoteQueries{
-		byID: map[uint64]*remoteQuery{}, byToken: map[job.Token]*remoteQuery{},
+		byID: map[uint64]*remoteQuery{}, byToken: map[tracker.Token]*remoteQuery{},
 		offline: map[uint64]*remoteQuery{}, lost: map[wire.Claimant]time.Duration{},
 	}
 }
@@ -55,7 +56,7 @@
 }
 
 // startQuery answers a waiter from the job of another entry.
-func (e *Entry) startQuery(token job.Token, owner wire.Claimant, submittedAt int64, cancel bool) {
+func (e *Entry) startQuery(token tracker.Token, owner wire.Claimant, submittedAt int64, cancel bool) {
 	e.remote.last++
 	q := &remoteQuery{id: e.remote.last, token: token, owner: owner, submittedAt: submittedAt, cancel: cancel}
 	e.remote.byID[q.id], e.remote.byToken[token] = q, q
@@ -106,7 +107,7 @@
 }
 
 // withdrawQuery asks the owner to answer a waiting query at once.
-func (e *Entry) withdrawQuery(token job.Token) {
+func (e *Entry) withdrawQuery(token tracker.Token) {
 	q := e.remote.byToken[token]
 	if q == nil || e.peers[q.owner] == nil {
 		return
@@ -139,9 +140,9 @@
 			e.badReply(q)
 			return
 		}
-		q.view = &job.View{
+		q.view = &tracker.View{
 			Key: e.waiters[q.token].key, Class: reply.Class, SubmittedAt: reply.SubmittedAt,
-			Phase: job.Running, Results: make([]job.Result, reply.Count),
+			Phase: tracker.Running, Results: make([]job.Result, reply.Count),
 		}
 	}
 	for _, part := range reply.Parts {
@@ -155,14 +156,14 @@
 		return
 	}
 	if reply.Outcome == wire.JobFinished {
-		q.view.Phase = job.Complete
+		q.view.Phase = tracker.Complete
 		for i := range q.view.Results {
 			if !q.view.Results[i].State.Final() {
 				e.badReply(q)
 				return
 			}
 			if q.view.Results[i].State != job.Done {
-				q.view.Phase = job.FailedPhase
+				q.view.Phase = tracker.FailedPhase
 			}
 		}
 	}
@@ -171,7 +172,7 @@
 }
 
 // takePart adds one part of a result, which must continue where the last one ended.
-func takePart(view *job.View, part wire.JobPart) bool {
+func takePart(view *tracker.View, part wire.JobPart) bool {
 	if part.Task < 0 || part.Task >= len(view.Results) || part.Result.State > job.MayHaveRun ||
 		part.BodyBytes < 0 || part.BodyBytes > maxTaskBytes {
 		return false
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -7,8 +7,9 @@
 	"github.com/valyala/fasthttp"
 
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/httpapi"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 // Headers of the answer to POST /v1/requests.
@@ -49,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	if a.view.Phase <= job.Running {
+	if a.view.Phase <= tracker.Running {
 		ctx.Response.Header.Set(StateHeader, "running")
 		writeView(ctx, a.view)
 		return nil
--- a/internal/process/entry/runs.go
+++ b/internal/process/entry/runs.go
@@ -6,13 +6,13 @@
 
 	"go.uber.org/zap"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/run"
 	"pollenpaddle/internal/request/scheduler"
 	"pollenpaddle/internal/version/catalog"
 )
--- a/internal/process/entry/submit.go
+++ b/internal/process/entry/submit.go
@@ -6,8 +6,9 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 // maxReclaims bounds how often one submission is claimed again after the entry that seemed to own
@@ -24,7 +25,7 @@
 
 // answer is what the loop tells a caller: the state of a job or an error.
 type answer struct {
-	view       *job.View
+	view       *tracker.View
 	err        error
 	retryAfter time.Duration // advice for a request that was not run
 }
@@ -40,14 +41,14 @@
 	reclaims   int
 }
 
-func (e *Entry) addWaiter(w *waiter) job.Token {
+func (e *Entry) addWaiter(w *waiter) tracker.Token {
 	e.lastToken++
 	e.waiters[e.lastToken] = w
 	return e.lastToken
 }
 
 // answer gives a waiter its only answer.
-func (e *Entry) answer(token job.Token, a answer) {
+func (e *Entry) answer(token tracker.Token, a answer) {
 	w := e.waiters[token]
 	if w == nil {
 		return
@@ -60,7 +61,7 @@
 	w.reply <- a
 }
 
-func (e *Entry) answerAll(tokens []job.Token, a answer) {
+func (e *Entry) answerAll(tokens []tracker.Token, a answer) {
 	for _, token := range tokens {
 		e.answer(token, a)
 	}
@@ -74,12 +75,12 @@
 }
 
 // admit answers a submission from what is known, or claims its id.
-func (e *Entry) admit(token job.Token, delay time.Duration) {
+func (e *Entry) admit(token tracker.Token, delay time.Duration) {
 	w := e.waiters[token]
 	at := e.config.Now()
 	e.tracker.Advance(at.Boot, at.Wall)
 	known := e.tracker.Look(w.key, w.submission.SubmittedAt)
-	if known == job.Active {
+	if known == tracker.Active {
 		e.metrics.submissions.WithLabelValues("resubmitted").Inc()
 		e.waitFor(token)
 		return
@@ -101,7 +102,7 @@
 }
 
 // waitFor answers a waiter of a tracked job when the job has ended.
-func (e *Entry) waitFor(token job.Token) {
+func (e *Entry) waitFor(token tracker.Token) {
 	w := e.waiters[token]
 	if !e.tracker.Wait(w.key, token) {
 		e.answer(token, answer{view: e.tracker.View(w.key)})
@@ -113,7 +114,7 @@
 }
 
 // endWait answers a waiter now, or once it is known whether the job was accepted.
-func (e *Entry) endWait(token job.Token) {
+func (e *Entry) endWait(token tracker.Token) {
 	w := e.waiters[token]
 	if w == nil {
 		return
@@ -127,14 +128,14 @@
 }
 
 // refuseKnown returns why a submission whose id is known here cannot be run or answered.
-func refuseKnown(known job.Known, s *job.Submission) *failure.Error {
+func refuseKnown(known tracker.Known, s *job.Submission) *failure.Error {
 	switch known {
-	case job.Dropped:
+	case tracker.Dropped:
 		return errDropped(s.Key.ID)
-	case job.OtherTime:
+	case tracker.OtherTime:
 		return failure.New(failure.InvalidArgument, "send the submission time of the first submission, or choose another id",
 			"the id %q is in use with another submission time; this submission was not run", s.Key.ID)
-	case job.TooOld:
+	case tracker.TooOld:
 		return claim.TooOld(s.Key.ID)
 	}
 	return nil
@@ -190,7 +191,7 @@
 
 // denied handles the answer of a supposed owner that does not know the id: the submission is
 // claimed again, as the remains of the owner's abandoned claim are cleared by now.
-func (e *Entry) denied(token job.Token) {
+func (e *Entry) denied(token tracker.Token) {
 	w := e.waiters[token]
 	if w.submission == nil {
 		e.answer(token, answer{err: errNotFound(w.key.ID)})
@@ -208,16 +209,16 @@
 }
 
 // lost handles a job whose owner is gone: it has failed, and each of its tasks may have run.
-func (e *Entry) lost(token job.Token) {
+func (e *Entry) lost(token tracker.Token) {
 	w := e.waiters[token]
 	if w.submission == nil {
 		e.answer(token, answer{err: failure.New(failure.MayHaveRun, "choose a new id if the job must be run again",
 			"the entry that owned the job %q is gone; its tasks may have run", w.key.ID)})
 		return
 	}
-	view := &job.View{
+	view := &tracker.View{
 		Key: w.key, Kind: w.submission.Kind, Class: w.submission.Class, SubmittedAt: w.submission.SubmittedAt,
-		Phase: job.FailedPhase, Results: make([]job.Result, len(w.submission.Tasks)),
+		Phase: tracker.FailedPhase, Results: make([]job.Result, len(w.submission.Tasks)),
 	}
 	for i := range view.Results {
 		view.Results[i] = job.Result{
--- a/internal/process/logging/writer.go
+++ b/internal/process/logging/writer.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"pollenpaddle/internal/connection/ring"
+	"pollenpaddle/internal/ring"
 )
 
 const (
--- a/internal/process/loop/loop.go
+++ b/internal/process/loop/loop.go
@@ -6,7 +6,7 @@
 	"context"
 	"time"
 
-	"pollenpaddle/internal/connection/ring"
+	"pollenpaddle/internal/ring"
 )
 
 // Loop feeds queued events to Handle, one at a time, from a single thread.
--- a/internal/process/workerhost/workerhost.go
+++ b/internal/process/workerhost/workerhost.go
@@ -6,7 +6,7 @@
 	"context"
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // Task describes one call to the platform.
--- a/internal/request/claim/bench_test.go
+++ b/internal/request/claim/bench_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 )
 
 const uuidLike = "01a2406b-6bfd-7a42-9df3-%012d"
--- a/internal/request/claim/claimant.go
+++ b/internal/request/claim/claimant.go
@@ -7,7 +7,7 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/request/claim/claimant_test.go
+++ b/internal/request/claim/claimant_test.go
@@ -9,8 +9,8 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/request/claim/epoch.go
+++ b/internal/request/claim/epoch.go
@@ -1,6 +1,6 @@
 package claim
 
-import "pollenpaddle/internal/request/job"
+import "pollenpaddle/internal/model/job"
 
 // maxEpochs bounds the configurations that a registrar keeps. With more changes within the
 // retention, ids whose registrars have not changed wait as long as those whose registrars have.
--- a/internal/request/claim/members.go
+++ b/internal/request/claim/members.go
@@ -13,7 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/version/catalog"
 	"pollenpaddle/internal/version/lease"
 )
--- a/internal/request/claim/model_test.go
+++ b/internal/request/claim/model_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 )
 
 // TestAtMostOneOwner guards against two entries that start the same job. It runs many entries
--- a/internal/request/claim/registrar.go
+++ b/internal/request/claim/registrar.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/expiry"
-	"pollenpaddle/internal/request/job"
 )
 
 // Defaults of RegistrarConfig.
--- a/internal/request/claim/registrar_test.go
+++ b/internal/request/claim/registrar_test.go
@@ -8,8 +8,8 @@
 	"github.com/onsi/gomega"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/request/claim/wake.go
+++ b/internal/request/claim/wake.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // wakeQueue holds the times at which requests need attention. Entries of requests that are over
--- a/internal/request/claim/world_test.go
+++ b/internal/request/claim/world_test.go
@@ -10,8 +10,9 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/request/tracker"
 	"pollenpaddle/internal/version/catalog"
 )
 
@@ -22,7 +23,7 @@
 	self      wire.Claimant
 	registrar *claim.Registrar
 	claimant  *claim.Claimant
-	tracker   *job.Tracker
+	tracker   *tracker.Tracker
 	boot      time.Duration // boot-time clock at true time zero
 	skew      int64         // wall clock minus true time, 0 to 5000 ms
 	applied   int           // index of the configuration in use, -1 without one
@@ -79,7 +80,7 @@
 		self: wire.Claimant{EntryID: id, Incarnation: w.incarnation}, applied: -1,
 		boot: time.Duration(w.incarnation) * time.Hour, skew: rapid.Int64Range(0, 5000).Draw(w.t, "skew"),
 		claimant: claim.NewClaimant(claim.ClaimantConfig{Seed: w.incarnation}),
-		tracker: job.NewTracker(job.TrackerConfig{
+		tracker: tracker.New(tracker.Config{
 			ResultRetention: time.Second, ClaimRetention: w.retention, MaxFinishedJobs: 2, MaxTombstones: 1,
 		}),
 	}
@@ -166,7 +167,7 @@
 func (w *world) submit(p *process, r claim.Requested) {
 	at := w.read(p)
 	p.tracker.Advance(at.Boot, at.Wall)
-	if p.tracker.Look(r.Key, r.SubmittedAt) != job.Unknown {
+	if p.tracker.Look(r.Key, r.SubmittedAt) != tracker.Unknown {
 		return
 	}
 	p.tracker.Begin(at.Boot, &job.Submission{Key: r.Key, SubmittedAt: r.SubmittedAt, Tasks: make([]job.Task, 1)})
@@ -222,7 +223,7 @@
 
 // askOwner plays the job query: an owner that does not know the id clears the remains of its
 // attempts, and the asking entry claims again.
-func (w *world) askOwner(p *process, view *job.View, owner wire.Claimant) {
+func (w *world) askOwner(p *process, view *tracker.View, owner wire.Claimant) {
 	i := slices.IndexFunc(w.processes, func(o *process) bool { return o.self == owner })
 	if i < 0 || w.processes[i].paused {
 		return
@@ -230,7 +231,7 @@
 	o := w.processes[i]
 	at := w.read(o)
 	o.tracker.Advance(at.Boot, at.Wall)
-	if o.tracker.Look(view.Key, view.SubmittedAt) == job.Unknown {
+	if o.tracker.Look(view.Key, view.SubmittedAt) == tracker.Unknown {
 		w.act(o, at, o.claimant.Step(at.Boot, claim.Disowned{Key: view.Key, SubmittedAt: view.SubmittedAt}))
 		w.submit(p, claim.Requested{Key: view.Key, SubmittedAt: view.SubmittedAt, Delay: 20 * time.Millisecond})
 	}
--- a/internal/request/dispatch/agent.go
+++ b/internal/request/dispatch/agent.go
@@ -7,9 +7,9 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/estimate"
 	"pollenpaddle/internal/request/health"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/placement"
 )
 
--- a/internal/request/dispatch/bench_test.go
+++ b/internal/request/dispatch/bench_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
 )
 
 // BenchmarkStart measures a submission of one task, its start and its result.
--- a/internal/request/dispatch/class.go
+++ b/internal/request/dispatch/class.go
@@ -4,10 +4,10 @@
 	"math/bits"
 	"time"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/admission"
 	"pollenpaddle/internal/request/estimate"
 	"pollenpaddle/internal/request/health"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/placement"
 	"pollenpaddle/internal/request/retry"
 	"pollenpaddle/internal/version/catalog"
--- a/internal/request/dispatch/dispatch_test.go
+++ b/internal/request/dispatch/dispatch_test.go
@@ -9,8 +9,8 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
 )
 
 var (
--- a/internal/request/dispatch/harness_test.go
+++ b/internal/request/dispatch/harness_test.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/request/dispatch/machine.go
+++ b/internal/request/dispatch/machine.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/admission"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/request/placement"
 	"pollenpaddle/internal/version/catalog"
 )
--- a/internal/request/dispatch/policies_test.go
+++ b/internal/request/dispatch/policies_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/dispatch"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/internal/request/dispatch/receive.go
+++ b/internal/request/dispatch/receive.go
@@ -7,8 +7,8 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/estimate"
-	"pollenpaddle/internal/request/job"
 )
 
 const (
--- a/internal/request/dispatch/submit.go
+++ b/internal/request/dispatch/submit.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/admission"
-	"pollenpaddle/internal/request/job"
 )
 
 const (
--- a/internal/request/dispatch/task.go
+++ b/internal/request/dispatch/task.go
@@ -5,8 +5,8 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/admission"
-	"pollenpaddle/internal/request/job"
 )
 
 // jobState is an accepted submission.
--- a/internal/request/placement/example_test.go
+++ b/internal/request/placement/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/placement"
 )
 
--- a/internal/request/placement/policy.go
+++ b/internal/request/placement/policy.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // Task is what a policy knows about a task.
--- a/internal/request/placement/snapshot.go
+++ b/internal/request/placement/snapshot.go
@@ -9,7 +9,7 @@
 	"math/bits"
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 const (
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -3,7 +3,7 @@
 
 import (
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 const (
--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/run"
 )
 
 // stop asks the worker to end a run. A run that has not begun is kept from beginning.
--- a/internal/request/runner/events.go
+++ b/internal/request/runner/events.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // EntryID names an entry and its incarnation.
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // Config holds the settings of a machine. A zero duration takes its default.
--- a/internal/request/runner/model_test.go
+++ b/internal/request/runner/model_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/request/runner"
 	"pollenpaddle/internal/testutil/simworker"
 )
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // owner is an entry that orders runs. It outlives its session for as long as it has runs.
--- a/internal/request/runner/stats.go
+++ b/internal/request/runner/stats.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // Stats counts what the machine has done since it was made.
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // workerState is what is known of the worker.
--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/request/health"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
 	"pollenpaddle/internal/request/runner"
 )
 
--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -5,8 +5,8 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 )
 
 // AgentID names an agent and its incarnation.
--- a/internal/request/scheduler/installation_test.go
+++ b/internal/request/scheduler/installation_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 
-	"pollenpaddle/internal/request/job"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/request/runner"
 	"pollenpaddle/internal/request/scheduler"
 	"pollenpaddle/internal/testutil/simworker"
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -6,8 +6,8 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/request/health"
-	"pollenpaddle/internal/request/run"
 )
 
 const (
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/run"
 )
 
 // Config holds the settings of a machine. A zero field takes its default.
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 const (
--- a/internal/request/startgate/dump.go
+++ b/internal/request/startgate/dump.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // Stats counts what the machine has done since it was made. Counts never decrease.
--- a/internal/request/startgate/events.go
+++ b/internal/request/startgate/events.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // EntryID names an entry and its incarnation.
--- a/internal/request/startgate/offers_test.go
+++ b/internal/request/startgate/offers_test.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/startgate"
 )
 
--- a/internal/request/startgate/oracle_test.go
+++ b/internal/request/startgate/oracle_test.go
@@ -6,7 +6,7 @@
 	"pgregory.net/rapid"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/startgate"
 )
 
--- a/internal/request/startgate/records.go
+++ b/internal/request/startgate/records.go
@@ -5,7 +5,7 @@
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // phase is what has become of a start.
--- a/internal/request/startgate/startgate.go
+++ b/internal/request/startgate/startgate.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // Config holds the settings of a machine. A zero field takes its default.
--- a/internal/request/startgate/starts.go
+++ b/internal/request/startgate/starts.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 // slots returns the number of calls that may run at once.
--- a/internal/request/job/retention.go
+++ b/internal/request/tracker/retention.go
@@ -1,6 +1,10 @@
-package job
+package tracker
 
-import "time"
+import (
+	"time"
+
+	"pollenpaddle/internal/model/job"
+)
 
 // resultOverhead is the memory of one result apart from its body and headers.
 const resultOverhead = 160
@@ -48,7 +52,7 @@
 // The newest job is kept whatever its size.
 func (t *Tracker) retain(now time.Duration, j *tracked) {
 	j.ended = now
-	j.submission = &Submission{
+	j.submission = &job.Submission{
 		Key: j.submission.Key, Kind: j.submission.Kind, Class: j.submission.Class, SubmittedAt: j.submission.SubmittedAt,
 	}
 	for i := range j.results {
@@ -86,7 +90,7 @@
 	}
 }
 
-func resultBytes(r *Result) int64 {
+func resultBytes(r *job.Result) int64 {
 	size := resultOverhead + len(r.Body) + len(r.Message)
 	for _, h := range r.Headers {
 		size += len(h.Name) + len(h.Value)
--- a/internal/request/job/suite_test.go
+++ b/internal/request/tracker/suite_test.go
@@ -1,13 +1,10 @@
-package job_test
+package tracker_test
 
 import (
 	"flag"
 	"os"
 	"testing"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
-
 	"pollenpaddle/internal/testutil"
 )
 
@@ -16,8 +13,3 @@
 	testutil.FixRapid(testutil.RapidFlag{Name: "steps", Value: "200"}, testutil.RapidFlag{Name: "checks", Value: "500"})
 	os.Exit(m.Run())
 }
-
-func TestJob(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "job")
-}
--- a/internal/request/job/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -1,9 +1,12 @@
-package job
+// Package tracker keeps the jobs that an entry has accepted: task states, results, waiters and the
+// retention of what has ended.
+package tracker
 
 import (
 	"slices"
 	"time"
 
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/expiry"
 )
 
@@ -28,13 +31,13 @@
 
 // View is a copy of a job's state. It does not change afterwards.
 type View struct {
-	Key         Key
-	Kind        Kind
+	Key         job.Key
+	Kind        job.Kind
 	Class       string
 	SubmittedAt int64
 	Phase       Phase
 	Cancelled   bool
-	Results     []Result // one per task
+	Results     []job.Result // one per task
 }
 
 // Known tells what a tracker knows about a job id.
@@ -49,8 +52,8 @@
 	TooOld                 // its record may have been dropped
 )
 
-// TrackerConfig holds the settings of a tracker. A zero field takes its default.
-type TrackerConfig struct {
+// Config holds the settings of a tracker. A zero field takes its default.
+type Config struct {
 	ResultRetention  time.Duration // how long results are kept after the end of a job
 	ClaimRetention   time.Duration // how long after its submission time an id can be claimed
 	MaxFinishedJobs  int
@@ -58,7 +61,7 @@
 	MaxTombstones    int
 }
 
-// Defaults of TrackerConfig.
+// Defaults of Config.
 const (
 	DefaultResultRetention  = 10 * time.Minute
 	DefaultClaimRetention   = 10 * time.Minute
@@ -67,7 +70,7 @@
 	DefaultMaxTombstones    = 1_000_000
 )
 
-func (c TrackerConfig) withDefaults() TrackerConfig {
+func (c Config) withDefaults() Config {
 	if c.ResultRetention <= 0 {
 		c.ResultRetention = DefaultResultRetention
 	}
@@ -91,21 +94,21 @@
 // remembered for as long as a registrar might grant it again. A Tracker is not safe for concurrent
 // use.
 type Tracker struct {
-	config     TrackerConfig
-	jobs       map[Key]*tracked
+	config     Config
+	jobs       map[job.Key]*tracked
 	finished   []*tracked // in the order of their end, from index first
 	first      int
 	bytes      int64 // of finished
-	tombstones *expiry.Map[Key, struct{}]
+	tombstones *expiry.Map[job.Key, struct{}]
 	floor      int64 // submission times up to this one are refused unless the job is still held
 	counts     [len(phaseNames)]int
 }
 
 type tracked struct {
-	submission *Submission // tasks are released at the end
+	submission *job.Submission // tasks are released at the end
 	phase      Phase
 	cancelled  bool
-	results    []Result
+	results    []job.Result
 	open       int
 	waiters    []waiter
 	begun      time.Duration
@@ -118,13 +121,13 @@
 	cut   bool // its wait is over; it is only waiting for the claim
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker(config TrackerConfig) *Tracker {
-	return &Tracker{config: config.withDefaults(), jobs: map[Key]*tracked{}, tombstones: expiry.New[Key, struct{}]()}
+// New returns an empty tracker.
+func New(config Config) *Tracker {
+	return &Tracker{config: config.withDefaults(), jobs: map[job.Key]*tracked{}, tombstones: expiry.New[job.Key, struct{}]()}
 }
 
 // Look tells what is known about an id. Submission time zero stands for any.
-func (t *Tracker) Look(key Key, submittedAt int64) Known {
+func (t *Tracker) Look(key job.Key, submittedAt int64) Known {
 	if j := t.jobs[key]; j != nil {
 		if submittedAt != 0 && submittedAt != j.submission.SubmittedAt {
 			return OtherTime
@@ -144,14 +147,14 @@
 }
 
 // Begin adds a job whose id is being claimed. Look must have returned Unknown.
-func (t *Tracker) Begin(now time.Duration, s *Submission) {
-	t.jobs[s.Key] = &tracked{submission: s, results: make([]Result, len(s.Tasks)), open: len(s.Tasks), begun: now}
+func (t *Tracker) Begin(now time.Duration, s *job.Submission) {
+	t.jobs[s.Key] = &tracked{submission: s, results: make([]job.Result, len(s.Tasks)), open: len(s.Tasks), begun: now}
 	t.counts[Claiming]++
 }
 
 // Accept moves a job from Claiming to Running and returns its submission, together with the
 // waiters whose wait was over before. It returns nil if the job is not being claimed.
-func (t *Tracker) Accept(key Key) (*Submission, []Token) {
+func (t *Tracker) Accept(key job.Key) (*job.Submission, []Token) {
 	j := t.jobs[key]
 	if j == nil || j.phase != Claiming {
 		return nil, nil
@@ -161,7 +164,7 @@
 }
 
 // Remove deletes a job of which nothing was started and returns its waiters.
-func (t *Tracker) Remove(key Key) []Token {
+func (t *Tracker) Remove(key job.Key) []Token {
 	j := t.jobs[key]
 	if j == nil || j.phase > Running {
 		return nil
@@ -172,15 +175,15 @@
 }
 
 // Started records that a task was sent to an agent.
-func (t *Tracker) Started(key Key, task int) {
-	if j := t.jobs[key]; j != nil && task < len(j.results) && j.results[task].State == Queued {
-		j.results[task].State = Started
+func (t *Tracker) Started(key job.Key, task int) {
+	if j := t.jobs[key]; j != nil && task < len(j.results) && j.results[task].State == job.Queued {
+		j.results[task].State = job.Started
 	}
 }
 
 // Finish records the final result of a task; a second result for the same task is ignored. With
 // the last task the job ends: ended is true and the waiters are returned.
-func (t *Tracker) Finish(now time.Duration, key Key, task int, result Result) (ended bool, waiters []Token) {
+func (t *Tracker) Finish(now time.Duration, key job.Key, task int, result job.Result) (ended bool, waiters []Token) {
 	j := t.jobs[key]
 	if j == nil || j.phase != Running || task >= len(j.results) || j.results[task].State.Final() || !result.State.Final() {
 		return false, nil
@@ -192,7 +195,7 @@
 	}
 	phase := Complete
 	for i := range j.results {
-		if j.results[i].State != Done {
+		if j.results[i].State != job.Done {
 			phase = FailedPhase
 		}
 	}
@@ -202,7 +205,7 @@
 }
 
 // Cancel marks a running job as cancelled. It returns false if the job is not running.
-func (t *Tracker) Cancel(key Key) bool {
+func (t *Tracker) Cancel(key job.Key) bool {
 	j := t.jobs[key]
 	if j == nil || j.phase != Running {
 		return false
@@ -213,7 +216,7 @@
 
 // Wait registers a waiter for the end of the job. It returns false, and does not register it, if
 // the job has ended or is not held.
-func (t *Tracker) Wait(key Key, token Token) bool {
+func (t *Tracker) Wait(key job.Key, token Token) bool {
 	j := t.jobs[key]
 	if j == nil || j.phase > Running {
 		return false
@@ -224,7 +227,7 @@
 
 // Cut ends the wait of a waiter. It returns true if the waiter was removed and can be given the
 // running job. A waiter of a job that is still being claimed stays until the claim is decided.
-func (t *Tracker) Cut(key Key, token Token) bool {
+func (t *Tracker) Cut(key job.Key, token Token) bool {
 	j := t.jobs[key]
 	if j == nil {
 		return false
@@ -242,7 +245,7 @@
 }
 
 // View returns a copy of the job's state, nil if it is not held.
-func (t *Tracker) View(key Key) *View {
+func (t *Tracker) View(key job.Key) *View {
 	j := t.jobs[key]
 	if j == nil {
 		return nil
@@ -258,7 +261,7 @@
 }
 
 // Age returns the time since Begin, up to the end of a finished job.
-func (t *Tracker) Age(now time.Duration, key Key) time.Duration {
+func (t *Tracker) Age(now time.Duration, key job.Key) time.Duration {
 	j := t.jobs[key]
 	switch {
 	case j == nil:
@@ -291,7 +294,7 @@
 }
 
 // Forget removes a waiter without an answer.
-func (t *Tracker) Forget(key Key, token Token) {
+func (t *Tracker) Forget(key job.Key, token Token) {
 	if j := t.jobs[key]; j != nil {
 		j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.token == token })
 	}
--- a/internal/request/job/tracker_test.go
+++ b/internal/request/tracker/tracker_test.go
@@ -1,4 +1,4 @@
-package job_test
+package tracker_test
 
 import (
 	"fmt"
@@ -8,7 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/request/tracker"
 )
 
 const (
@@ -25,11 +26,11 @@
 	at      int64
 	states  []job.State
 	bodies  []string
-	phase   job.Phase
+	phase   tracker.Phase
 	ended   time.Duration
 	order   int
 	dropped bool
-	waiting map[job.Token]bool // value: the wait is over
+	waiting map[tracker.Token]bool // value: the wait is over
 }
 
 // naiveRun identifies a job that was accepted.
@@ -40,7 +41,7 @@
 
 type pair struct {
 	t      *rapid.T
-	real   *job.Tracker
+	real   *tracker.Tracker
 	naive  map[job.Key]*naiveJob
 	now    time.Duration
 	wall   int64
@@ -48,8 +49,8 @@
 	lost   int64 // highest time of a dropped job whose id is in use again
 	ran    map[naiveRun]bool
 	ended  int
-	tokens job.Token
-	given  map[job.Token]bool // waiters that have an answer
+	tokens tracker.Token
+	given  map[tracker.Token]bool // waiters that have an answer
 }
 
 func (p *pair) key() job.Key {
@@ -60,7 +61,7 @@
 func (p *pair) retain() {
 	var kept []*naiveJob
 	for _, n := range p.naive {
-		if n.phase > job.Running && !n.dropped {
+		if n.phase > tracker.Running && !n.dropped {
 			kept = append(kept, n)
 		}
 	}
@@ -80,7 +81,7 @@
 	}
 }
 
-func (p *pair) take(tokens []job.Token) {
+func (p *pair) take(tokens []tracker.Token) {
 	for _, token := range tokens {
 		if p.given[token] {
 			p.t.Fatalf("waiter %d is answered twice", token)
@@ -94,12 +95,12 @@
 	for key, n := range p.naive {
 		view, look := p.real.View(key), p.real.Look(key, n.at)
 		if n.dropped {
-			if view != nil || look != job.Dropped && look != job.TooOld {
+			if view != nil || look != tracker.Dropped && look != tracker.TooOld {
 				p.t.Fatalf("%v was dropped, but the tracker says %v", key, look)
 			}
 			continue
 		}
-		if look != job.Active || view == nil || view.Phase != n.phase || p.real.Look(key, n.at+1) != job.OtherTime {
+		if look != tracker.Active || view == nil || view.Phase != n.phase || p.real.Look(key, n.at+1) != tracker.OtherTime {
 			p.t.Fatalf("%v is in phase %v, but the tracker says %v, %+v", key, n.phase, look, view)
 		}
 		for i := range n.states {
@@ -120,11 +121,11 @@
 	known := p.real.Look(key, at)
 	n := p.naive[key]
 	switch {
-	case p.ran[naiveRun{key, at}] && known == job.Unknown:
+	case p.ran[naiveRun{key, at}] && known == tracker.Unknown:
 		t.Fatalf("%v was accepted at %d before, but may run again", key, at)
-	case n == nil && known != job.Unknown && at > p.newest-keepClaims.Milliseconds() && at > p.highestDropped():
+	case n == nil && known != tracker.Unknown && at > p.newest-keepClaims.Milliseconds() && at > p.highestDropped():
 		t.Fatalf("%v is new, but the tracker says %v", key, known)
-	case known != job.Unknown:
+	case known != tracker.Unknown:
 		return
 	}
 	if n != nil {
@@ -132,7 +133,7 @@
 	}
 	tasks := rapid.IntRange(1, 3).Draw(t, "tasks")
 	p.real.Begin(p.now, &job.Submission{Key: key, SubmittedAt: at, Tasks: make([]job.Task, tasks)})
-	p.naive[key] = &naiveJob{at: at, states: make([]job.State, tasks), bodies: make([]string, tasks), waiting: map[job.Token]bool{}}
+	p.naive[key] = &naiveJob{at: at, states: make([]job.State, tasks), bodies: make([]string, tasks), waiting: map[tracker.Token]bool{}}
 }
 
 // highestDropped bounds the floor that the tracker may have raised for lack of tombstones.
@@ -157,7 +158,7 @@
 	result.Body = make([]byte, rapid.IntRange(0, 1000).Draw(t, "size"))
 	ended, tokens := p.real.Finish(p.now, key, task, result)
 	p.take(tokens)
-	if n.phase != job.Running || n.states[task].Final() {
+	if n.phase != tracker.Running || n.states[task].Final() {
 		return
 	}
 	n.states[task], n.bodies[task] = result.State, string(result.Body)
@@ -169,10 +170,10 @@
 	if !ended {
 		t.Fatalf("%v has ended, but the tracker does not say so", key)
 	}
-	n.phase = job.Complete
+	n.phase = tracker.Complete
 	for _, state := range n.states {
 		if state != job.Done {
-			n.phase = job.FailedPhase
+			n.phase = tracker.FailedPhase
 		}
 	}
 	p.ended++
@@ -190,8 +191,8 @@
 // too early or too late, and ids that may run a second time.
 func TestTrackerAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &pair{t: t, naive: map[job.Key]*naiveJob{}, wall: baseMillis, newest: baseMillis, now: time.Hour, given: map[job.Token]bool{}, ran: map[naiveRun]bool{}}
-		p.real = job.NewTracker(job.TrackerConfig{
+		p := &pair{t: t, naive: map[job.Key]*naiveJob{}, wall: baseMillis, newest: baseMillis, now: time.Hour, given: map[tracker.Token]bool{}, ran: map[naiveRun]bool{}}
+		p.real = tracker.New(tracker.Config{
 			ResultRetention: keepResults, ClaimRetention: keepClaims, MaxFinishedJobs: keepJobs, MaxFinishedBytes: keepBytes, MaxTombstones: 2,
 		})
 		p.real.Advance(p.now, p.wall)
@@ -200,7 +201,7 @@
 			"accept": p.accept, "accept more": p.accept,
 			"remove": func(t *rapid.T) {
 				key := p.key()
-				if n := p.naive[key]; n != nil && n.phase == job.Claiming {
+				if n := p.naive[key]; n != nil && n.phase == tracker.Claiming {
 					p.take(p.real.Remove(key))
 					for token := range n.waiting {
 						if !p.given[token] {
@@ -225,7 +226,7 @@
 				p.newest = max(p.newest, p.wall)
 				p.real.Advance(p.now, p.wall)
 				for _, n := range p.naive {
-					if n.phase > job.Running && p.now-n.ended >= keepResults {
+					if n.phase > tracker.Running && p.now-n.ended >= keepResults {
 						n.dropped = true
 					}
 				}
@@ -239,13 +240,13 @@
 	submission, tokens := p.real.Accept(key)
 	p.take(tokens)
 	n := p.naive[key]
-	if (submission != nil) != (n != nil && n.phase == job.Claiming) {
+	if (submission != nil) != (n != nil && n.phase == tracker.Claiming) {
 		t.Fatalf("accept of %v: %v", key, submission)
 	}
 	if submission == nil {
 		return
 	}
-	n.phase = job.Running
+	n.phase = tracker.Running
 	p.ran[naiveRun{key, n.at}] = true
 	for token, cut := range n.waiting {
 		if cut != p.given[token] {
@@ -261,7 +262,7 @@
 	key := p.key()
 	p.tokens++
 	n := p.naive[key]
-	open := n != nil && n.phase <= job.Running
+	open := n != nil && n.phase <= tracker.Running
 	if p.real.Wait(key, p.tokens) != open {
 		t.Fatalf("wait for %v is not %v", key, open)
 	}
@@ -276,7 +277,7 @@
 	if n == nil || len(n.waiting) == 0 {
 		return
 	}
-	var tokens []job.Token
+	var tokens []tracker.Token
 	for token := range n.waiting {
 		tokens = append(tokens, token)
 	}
@@ -288,7 +289,7 @@
 		return
 	}
 	answered := p.real.Cut(key, token)
-	if answered != (n.phase == job.Running) {
+	if answered != (n.phase == tracker.Running) {
 		t.Fatalf("cut of %v in phase %v: %v", key, n.phase, answered)
 	}
 	if answered {
--- a/internal/connection/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"pollenpaddle/internal/connection/ring"
+	"pollenpaddle/internal/ring"
 )
 
 func TestRing(t *testing.T) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/workerhost"
-	"pollenpaddle/internal/request/job"
 )
 
 // Platform is a stand-in worker platform. Tasks use what they declared, unless SetUsage says
--- a/internal/testutil/simworker/worker.go
+++ b/internal/testutil/simworker/worker.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"pollenpaddle/internal/request/run"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/request/runner"
 )
 
--- a/internal/version/replica/replica.go
+++ b/internal/version/replica/replica.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"pollenpaddle/internal/connection/ring"
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/failure"
-	"pollenpaddle/internal/process/clock"
+	"pollenpaddle/internal/ring"
 	"pollenpaddle/internal/version/replication"
 	"pollenpaddle/internal/version/storage"
 )
--- a/tools/capacity/claims.go
+++ b/tools/capacity/claims.go
@@ -4,8 +4,8 @@
 	"fmt"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/request/claim"
-	"pollenpaddle/internal/request/job"
 	"pollenpaddle/internal/version/catalog"
 )
 
--- a/tools/capacity/wire.go
+++ b/tools/capacity/wire.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/request/job"
+	"pollenpaddle/internal/model/job"
 )
 
 var (
--- a/tools/importcheck/main.go
+++ b/tools/importcheck/main.go
@@ -1,8 +1,9 @@
-// Command importcheck enforces two rules. Decision packages are deterministic state machines: they
+// Command importcheck enforces three rules. Decision packages are deterministic state machines: they
 // import no shell package, start no goroutine, use no channel and read no clock. And only package
 // platform knows the names of the users' platform: no other package imports it, apart from the
-// daemon's wiring, or holds one of its paths and headers in a string. The command exits with status
-// 1 and lists every violation as file:line.
+// daemon's wiring, or holds one of its paths and headers in a string. The third rule is the order
+// of the layers (layers.go). The command exits with status 1 and lists every violation as
+// file:line.
 package main
 
 import (
@@ -20,6 +21,7 @@
 // the packages below.
 var corePackages = []string{
 	"internal/failure",
+	"internal/model/...",
 	"internal/request/...",
 	"internal/version/catalog",
 	"internal/version/lease",
@@ -61,6 +63,12 @@
 		os.Exit(2)
 	}
 	violations = append(violations, found...)
+	found, err = checkLayers(".")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "importcheck:", err)
+		os.Exit(2)
+	}
+	violations = append(violations, found...)
 	for _, violation := range violations {
 		fmt.Println(violation)
 	}
