Let a new control member answer a leader outside its seeds

With a leader elsewhere its answers were dropped, it never got the log, and the loss of two more disks was one too many. Ruled out: the size of the group (five members had the vote before). Change: addresses come from the members that others have named, too.

--- a/internal/version/replication/automatic_test.go
+++ b/internal/version/replication/automatic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,27 @@
 		gomega.Expect(c.until(15*time.Second, c.settled)).To(gomega.BeTrue())
 	})
 
+	// Guards against a member with a new disk that cannot answer a leader outside its seeds: it stayed
+	// without the log, and the next loss of two disks was one too many (incident 0005).
+	ginkgo.It("takes a member back whose leader is none of its seeds", func() {
+		c := automatic(41, 5)
+		isSeed := func(m *machine) bool {
+			return slices.ContainsFunc(c.peers, func(peer replication.Member) bool { return peer.Name == m.name })
+		}
+		for c.leader() == nil || isSeed(c.leader()) {
+			if leader := c.leader(); leader != nil {
+				leader.crash(false)
+				c.advance(1500 * time.Millisecond)
+				leader.start()
+			}
+			c.advance(500 * time.Millisecond)
+		}
+		gomega.Expect(c.until(5*time.Second, c.settled)).To(gomega.BeTrue())
+		gomega.Expect(isSeed(c.leader())).To(gomega.BeFalse())
+		c.byName("control-1").wipe()
+		gomega.Expect(c.until(6*time.Second, c.settled)).To(gomega.BeTrue())
+	})
+
 	// Guards against a member that was cut off, replaced meanwhile, and is lost for good.
 	ginkgo.It("takes a replaced member back once another one is gone", func() {
 		c := automatic(32, 3)
--- a/internal/version/replication/cluster_test.go
+++ b/internal/version/replication/cluster_test.go
@@ -147,6 +147,9 @@
 }
 
 func (c *cluster) send(from *machine, e replication.Envelope) {
+	if e.To.Address == "" {
+		return // the transport has nothing to dial
+	}
 	data, err := replication.EncodeMessage(e.Message)
 	if err != nil {
 		c.oracle.fail("a message cannot be encoded: %v", err)
--- a/internal/version/replication/membership.go
+++ b/internal/version/replication/membership.go
@@ -211,10 +211,15 @@
 	return member
 }
 
+// addressOf returns the address of a process that the configuration does not name: a peer of the
+// settings or a member that a process of the group has named. A new member learns the address of a
+// leader outside its settings only in the second way.
 func (c *Core) addressOf(name string) string {
-	for _, peer := range c.options.Peers {
-		if peer.Name == name {
-			return peer.Address
+	for _, list := range [][]Member{c.options.Peers, c.joining.members, c.configuration.Members} {
+		for _, peer := range list {
+			if peer.Name == name {
+				return peer.Address
+			}
 		}
 	}
 	return ""
