Resolve unanswered calls to workers sooner

Cause: a report of the worker that got no answer kept the ends of all its runs back for 420 ms, and the look that settles an unanswered start waited for 120 ms more. Change: the answer to a call is awaited for 30 ms, a report for 40 ms beyond its wait, and while calls get no answer reports are asked for every 30 ms.

--- a/internal/process/agent/runs.go
+++ b/internal/process/agent/runs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -12,14 +11,6 @@
 	"pollenpaddle/internal/request/startgate"
 )
 
-const (
-	// startTimeout is the wait for the answer to a start or a stop. The worker is on the same machine
-	// and answers within a few milliseconds. A timeout that is too short costs one look at the worker.
-	startTimeout = 50 * time.Millisecond
-	// renewSlack is added to the time that a worker may wait before it reports.
-	renewSlack = 120 * time.Millisecond
-)
-
 // Worker carries out calls to the worker beside the agent. Its methods are called from several
 // threads and return when the call has ended or ctx is done. The results name the call that they
 // belong to.
@@ -62,11 +53,7 @@
 // on the worker.
 func (a *Agent) callWorker(action runner.Action) {
 	worker := a.config.Worker
-	timeout := startTimeout
-	if renew, ok := action.(runner.Renew); ok {
-		timeout = renew.Wait + renewSlack
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), runner.CallTimeout(action))
 	defer cancel()
 	sent := clock.Boot()
 	switch call := action.(type) {
--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -6,6 +6,22 @@
 	"pollenpaddle/internal/model/run"
 )
 
+const (
+	// answerTimeout is the wait for the answer to a call. The worker is on the same machine and answers
+	// within a few milliseconds. A timeout that is too short costs one look at the worker.
+	answerTimeout = 30 * time.Millisecond
+	// reportSlack is added to the time that a worker may wait before it reports.
+	reportSlack = 40 * time.Millisecond
+)
+
+// CallTimeout is how long the shell waits for the answer to a call.
+func CallTimeout(call Action) time.Duration {
+	if renew, ok := call.(Renew); ok {
+		return renew.Wait + reportSlack
+	}
+	return answerTimeout
+}
+
 // stop asks the worker to end a run. A run that has not begun is kept from beginning.
 func (m *Machine) stop(r *record) {
 	r.phase, r.cancelled, r.confirmed = stopping, true, false
@@ -43,6 +59,7 @@
 		m.raiseToken(e.Token)
 		m.retryStart(now, r)
 	case NoAnswer:
+		m.unanswered(now)
 		m.stats.Unanswered++
 		r.phase, r.known = doubtful, now
 		if r.token == w.token {
@@ -102,6 +119,9 @@
 	case Fenced:
 		m.raiseToken(e.Token)
 		m.callStop(r)
+	case NoAnswer:
+		m.unanswered(now)
+		m.callStop(r)
 	default:
 		r.stopAt = now + stopRetry
 	}
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -48,10 +48,15 @@
 	// renewWait is how long the worker may wait with a report. The lease is renewed at least that
 	// often; two renewals may be lost before it lapses.
 	renewWait = 300 * time.Millisecond
-	// renewRetry is the wait after a renewal without an answer.
+	// lossyWait is the same while calls get no answer. A lost report keeps the ends of all runs back
+	// until the call has timed out.
+	lossyWait = 30 * time.Millisecond
+	// lossyTime is how long an unanswered call shows that others may get no answer either.
+	lossyTime = 2 * time.Second
+	// renewRetry is the wait after a renewal that the worker did not get.
 	renewRetry = 50 * time.Millisecond
 	// silentAfter is the time without a report after which the worker gets no new starts.
-	silentAfter = 2 * renewWait
+	silentAfter = 600 * time.Millisecond
 	// stopRetry is the wait before an unanswered stop is repeated.
 	stopRetry = 50 * time.Millisecond
 	// stateInterval is the shortest time between two reports of the worker's state to one entry.
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -38,6 +38,8 @@
 	looking  bool   // an extra call is under way
 	renewAt  time.Duration
 	wantLook bool
+	// lossyUntil is when calls count as reliable again.
+	lossyUntil time.Duration
 
 	// strangers are the tasks of runs in the newest report that no entry has ordered from this
 	// process: an earlier process of the agent has, or an order was carried out late.
@@ -152,8 +154,11 @@
 	if !w.renewing && now >= w.renewAt {
 		w.renewing = true
 		wait := renewWait
-		if !w.claimed {
+		switch {
+		case !w.claimed:
 			wait = 0
+		case now < w.lossyUntil:
+			wait = lossyWait
 		}
 		m.callRenew(now, wait, false)
 	}
@@ -206,14 +211,20 @@
 		m.raiseToken(e.Token)
 	default:
 		m.stats.RenewalsFailed++
-		if !e.Look {
+		if e.Result == NoAnswer {
+			m.unanswered(now)
+		} else if !e.Look {
 			w.renewAt = now + renewRetry
-		} else {
+		}
+		if e.Look {
 			w.wantLook = m.anyDoubtful()
 		}
 	}
 }
 
+// unanswered notes that a call got no answer.
+func (m *Machine) unanswered(now time.Duration) { m.worker.lossyUntil = now + lossyTime }
+
 // sameLife reports whether two identities mean the same life; one without Born matches any.
 func sameLife(a, b Worker) bool {
 	return a.ID == b.ID && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
--- a/internal/request/scheduler/installation_test.go
+++ b/internal/request/scheduler/installation_test.go
@@ -36,6 +36,7 @@
 	fails       float64 // share of runs that fail at once
 	hangs       float64 // share of runs that never end by themselves
 	unreachable bool    // nothing passes between it and the entries
+	mute        float64 // share of calls to the worker that get no answer and are carried out seconds later
 	polls       []delivery
 }
 
@@ -231,6 +232,10 @@
 	if n.worker.Down || n.id != agent {
 		return // a dead worker gives no answer, and nobody waits for that of a dead agent
 	}
+	if i.random.Float64() < n.mute {
+		i.leaveUnanswered(n, agent, action)
+		return
+	}
 	var answer runner.Event
 	delay := workerCall
 	switch a := action.(type) {
@@ -253,6 +258,30 @@
 	})
 }
 
+// leaveUnanswered lets a call get no answer in time and carries it out later.
+func (i *installation) leaveUnanswered(n *node, agent scheduler.AgentID, action runner.Action) {
+	worker := n.worker
+	late := 2*time.Second + time.Duration(i.random.Int64N(int64(10*time.Second)))
+	var answer runner.Event
+	timeout := runner.CallTimeout(action)
+	switch a := action.(type) {
+	case runner.Start:
+		answer = runner.StartReturned{Worker: a.Worker, Run: a.Run, Token: a.Token, Result: runner.NoAnswer}
+		i.at(late, func() { worker.Start(i.now, a) })
+	case runner.Stop:
+		answer = runner.StopReturned{Worker: a.Worker, Run: a.Run, Token: a.Token, Result: runner.NoAnswer}
+		i.at(late, func() { worker.Stop(a) })
+	case runner.Renew:
+		answer = runner.Renewed{Worker: a.Worker, Sent: i.now, Look: a.Look, Token: a.Token, Result: runner.NoAnswer}
+		i.at(late, func() { worker.Renew(i.now, a) })
+	}
+	i.at(timeout, func() {
+		if n.id == agent {
+			i.stepAgent(n, answer)
+		}
+	})
+}
+
 // report answers a renewal.
 func (i *installation) report(n *node, agent scheduler.AgentID, a runner.Renew, sent time.Duration) {
 	result, report := n.worker.Renew(i.now, a)
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -77,6 +77,28 @@
 		gomega.Expect(i.share(from, inTime)).To(gomega.BeNumerically(">", 0.93))
 	})
 
+	// Guards against a lost call that keeps the ends of all runs of its worker back, and against room
+	// that an unanswered start holds. Without lost calls 98% of the jobs are in time.
+	ginkgo.DescribeTable("keep most jobs in time while workers leave calls unanswered and carry them out late",
+		func(share, inTimeShare float64) {
+			i := newInstallation(3, 11)
+			i.load(2*time.Second, 0.7)
+			from := len(i.ordered)
+			for _, n := range i.nodes {
+				n.mute = share
+			}
+			i.load(6*time.Second, 0.7)
+			for _, n := range i.nodes {
+				n.mute = 0
+			}
+			i.advance(14 * time.Second)
+			i.table()
+			gomega.Expect(i.share(from, inTime)).To(gomega.BeNumerically(">", inTimeShare))
+		},
+		ginkgo.Entry("one in twenty", 0.05, 0.9),
+		ginkgo.Entry("one in four", 0.25, 0.5),
+	)
+
 	// Guards against two runs of a task at a time when a caller sends a job again that its entry has
 	// lost; the oracle watches the workers.
 	ginkgo.It("runs a job again through another entry after its entry has died", func() {
@@ -219,7 +241,7 @@
 		late.Waited = 2 * time.Second
 		i.submit(i.fronts[0], late)
 		i.submit(i.fronts[0], fresh)
-		i.advance(60 * time.Millisecond)
+		i.advance(150 * time.Millisecond) // an order that finds no room comes back after 80 ms
 		gomega.Expect(i.outcomes[late.ID].Verdict).To(gomega.Equal(scheduler.Rejected))
 		gomega.Expect(i.outcomes[fresh.ID].Verdict).To(gomega.BeZero())
 		i.advance(8 * time.Second)
