--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: help build lint test quickstart measure capacity soak fuzz clean
+.PHONY: help build lint test quickstart measure capacity soak soak-processes fuzz clean
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -45,6 +45,13 @@
 soak: ## model-based tests with fresh seeds for SOAK_SECONDS; prints the seed of a failure
 	@./tools/soak $(SOAK_SECONDS) $(MODELS)
 
+# The fault soak plays seeds FIRST_SEED to FIRST_SEED + SEEDS - 1, each FAULT_TIME under faults.
+FIRST_SEED ?= $(shell od -An -N2 -tu2 /dev/urandom | tr -d ' ')
+SEEDS ?= 5
+FAULT_TIME ?= 10s
+soak-processes: ## real processes under faults from outside; prints each seed and keeps the logs of those that fail in out/soak
+	$(GO) test ./platform -count=1 -timeout 4h -v -run '^TestFaultSoak$$' -args -soak.first=$(FIRST_SEED) -soak.seeds=$(SEEDS) -soak.for=$(FAULT_TIME) -soak.keep=$(CURDIR)/out/soak
+
 fuzz: ## each native fuzz target for FUZZ_SECONDS
 	@for target in $$(grep -rlE '^func Fuzz' --include=*_test.go . | xargs -n1 dirname | sort -u); do \
 		for name in $$(grep -hoE '^func Fuzz[A-Za-z]+' $$target/*_test.go | sed 's/func //'); do \
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -6,17 +6,27 @@
 	"time"
 )
 
+// Direction is one of the two directions of a link.
+type Direction int
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	FromTarget
+)
+
 // Link forwards TCP connections to one address with a one-way delay. It can be cut, which closes
-// its connections and refuses new ones, or frozen, which holds all bytes back.
+// its connections and refuses new ones, or frozen, which holds the bytes of one or both directions
+// back.
 type Link struct {
 	target   string
-	delay    time.Duration
 	listener net.Listener
 
 	mu     sync.Mutex
 	thawed *sync.Cond
+	delay  time.Duration
 	cut    bool
-	frozen bool
+	frozen [2]bool // by Direction
 	closed bool
 	conns  map[net.Conn]bool
 	group  sync.WaitGroup
@@ -56,14 +66,28 @@
 func (l *Link) Freeze() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.frozen = true
+	l.frozen = [2]bool{true, true}
+}
+
+// FreezeOneWay holds the bytes of one direction back, without closing a connection, until Heal.
+func (l *Link) FreezeOneWay(direction Direction) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen[direction] = true
+}
+
+// SetDelay changes the one-way delay of what is read from now on.
+func (l *Link) SetDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
 }
 
 // Heal ends Cut and Freeze.
 func (l *Link) Heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut, l.frozen = false, false
+	l.cut, l.frozen = false, [2]bool{}
 	l.thawed.Broadcast()
 }
 
@@ -110,8 +134,8 @@
 	}
 	defer l.remove(far)
 	var both sync.WaitGroup
-	both.Go(func() { l.forward(near, far) })
-	both.Go(func() { l.forward(far, near) })
+	both.Go(func() { l.forward(near, far, ToTarget) })
+	both.Go(func() { l.forward(far, near, FromTarget) })
 	both.Wait()
 }
 
@@ -138,15 +162,15 @@
 }
 
 // forward copies one direction; every piece arrives delay after it was read.
-func (l *Link) forward(from, to net.Conn) {
+func (l *Link) forward(from, to net.Conn, direction Direction) {
 	pieces := make(chan piece, linkQueue)
-	l.group.Go(func() { l.deliver(pieces, to) })
+	l.group.Go(func() { l.deliver(pieces, to, direction) })
 	defer close(pieces)
 	for {
 		buffer := make([]byte, linkChunk)
 		n, err := from.Read(buffer)
 		if n > 0 {
-			pieces <- piece{buffer[:n], time.Now().Add(l.delay)}
+			pieces <- piece{buffer[:n], time.Now().Add(l.presentDelay())}
 		}
 		if err != nil {
 			return
@@ -156,12 +180,12 @@
 
 // deliver writes the pieces when they are due, and closes the connection after the last one. It
 // keeps on taking pieces after a failed write, so that forward is never blocked.
-func (l *Link) deliver(pieces <-chan piece, to net.Conn) {
+func (l *Link) deliver(pieces <-chan piece, to net.Conn, direction Direction) {
 	defer to.Close()
 	failed := false
 	for p := range pieces {
 		time.Sleep(time.Until(p.due))
-		if !l.passable() {
+		if !l.passable(direction) {
 			failed = true
 		}
 		if !failed {
@@ -171,11 +195,17 @@
 	}
 }
 
-// passable waits while the link is frozen and reports whether it may still deliver.
-func (l *Link) passable() bool {
+func (l *Link) presentDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
+
+// passable waits while the direction is frozen and reports whether it may still deliver.
+func (l *Link) passable(direction Direction) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.frozen && !l.closed {
+	for l.frozen[direction] && !l.closed {
 		l.thawed.Wait()
 	}
 	return !l.closed
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -87,6 +87,19 @@
 		gomega.Eventually(answered, 2*time.Second).Should(gomega.Receive(gomega.BeNil()))
 	})
 
+	ginkgo.It("holds one direction back while the other one passes", func() {
+		link.FreezeOneWay(standin.FromTarget)
+		answered := make(chan error, 1)
+		go func() {
+			_, err := get()
+			answered <- err
+		}()
+		gomega.Eventually(upstream.Starts).Should(gomega.HaveLen(1))
+		gomega.Consistently(answered, 100*time.Millisecond).ShouldNot(gomega.Receive())
+		link.Heal()
+		gomega.Eventually(answered, 2*time.Second).Should(gomega.Receive(gomega.BeNil()))
+	})
+
 	ginkgo.DescribeTable("misbehaves as asked, and still records the start",
 		func(fault standin.Fault, check func(body string, err error)) {
 			upstream.SetFault(fault, 1)
--- a/internal/testutil/simworker/worker.go
+++ b/internal/testutil/simworker/worker.go
@@ -27,6 +27,8 @@
 	Down    bool // carries nothing out
 	// Started is called before a run begins.
 	Started func(run.ID)
+	// Ended, if set, is called when a run ends.
+	Ended func(run.ID, run.Outcome)
 	// Plan decides how long a run takes and how it ends.
 	Plan func(runner.Start) (time.Duration, run.Outcome)
 
@@ -70,6 +72,9 @@
 	w.lastEnd++
 	w.ended = append(w.ended, runner.RunEnd{Number: w.lastEnd, Run: id, Outcome: outcome})
 	w.highest[id.Task] = max(w.highest[id.Task], id.Number)
+	if w.Ended != nil {
+		w.Ended(id, outcome)
+	}
 }
 
 // Runs reports whether the run is under way.
