Log placements, changes of agents and of readiness

Where an entry sent the runs of a job, why an agent got none and why the entry called itself ready had no line. Change: events 1354 (placements with the predicted time and the age of the agent's state), 1355 (why an agent begins or ceases to get runs) and 1356 (readiness).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: help build lint test quickstart measure capacity soak soak-processes fuzz clean
 
 help: ## list the targets
-	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
 build: ## build all programs into bin/
 	$(GO) build -o $(BIN)/ ./cmd/...
--- a/internal/process/entry/runs.go
+++ b/internal/process/entry/runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
@@ -62,6 +63,7 @@
 	sweepAt   time.Duration
 	events    []scheduler.Event
 	stepping  bool
+	ready     bool // as it was last logged
 }
 
 func newRestartable(identity session.Identity) restartable {
@@ -204,6 +206,10 @@
 		e.jobDecided(a)
 	case scheduler.RunEnded:
 		e.logRun(a)
+	case scheduler.Ordered:
+		e.logPlacements(a)
+	case scheduler.AgentChanged:
+		logging.Log(e.config.Logger, logging.AgentChanged, zap.String("agent", a.Agent.ID), zap.String("reason", a.Reason.String()))
 	}
 }
 
@@ -239,6 +245,36 @@
 	logging.Log(e.config.Logger, event, fields...)
 }
 
+// placement is the log form of a scheduler.Placement.
+type placement scheduler.Placement
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (p placement) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	encoder.AddString("agent", p.Agent.ID)
+	encoder.AddInt("runs", p.Runs)
+	encoder.AddDuration("predicted", p.Predicted)
+	encoder.AddDuration("state_age", p.StateAge)
+	return nil
+}
+
+// logPlacements writes one line for the runs of a job that were ordered together.
+func (e *Entry) logPlacements(o scheduler.Ordered) {
+	placements := make([]placement, len(o.Placements))
+	for i, p := range o.Placements {
+		placements[i] = placement(p)
+	}
+	logging.Log(e.config.Logger, logging.RunsOrdered, zap.String("job", o.Job), zap.Objects("placements", placements))
+}
+
+// logReadiness writes a line when the entry begins or ceases to report itself as ready.
+func (e *Entry) logReadiness() {
+	err := e.ReadyForJobs()
+	if ready := err == nil; ready != e.jobs.ready {
+		e.jobs.ready = ready
+		logging.Log(e.config.Logger, logging.EntryReadiness, zap.Bool("ready", ready), zap.NamedError("reason", err))
+	}
+}
+
 // logRun writes a line for a run that did not end well.
 func (e *Entry) logRun(a scheduler.RunEnded) {
 	if a.End.Outcome == run.Done {
@@ -271,6 +307,7 @@
 		}
 	}
 	e.status.workers.Store(int64(j.scheduler.Reachable(now)))
+	e.logReadiness()
 }
 
 // receiveRun hands a message about runs to the scheduler; false if it is about something else.
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -80,6 +80,12 @@
 		"Every task has ended well. The fields give the time that the job took, its objective and how many runs it needed.")
 	JobNotCompleted = define(1352, zapcore.InfoLevel, "restartable job not completed",
 		"The verdict is failed, rejected or expired; the field reason tells why. Runs that ended badly have lines of their own with the same job.")
+	RunsOrdered = define(1354, zapcore.InfoLevel, "runs ordered",
+		"Tasks of a restartable job were placed. For each agent the field placements gives the runs, their predicted time and the age of the state that showed its room.")
+	AgentChanged = define(1355, zapcore.InfoLevel, "agent begins or ceases to get runs",
+		"The entry's view of an agent has changed; the field reason is open if it gets runs from now on, and tells otherwise why it gets none.")
+	EntryReadiness = define(1356, zapcore.InfoLevel, "readiness for restartable jobs changed",
+		"The field ready tells whether the entry reports itself as ready to those who send it callers; the field reason tells why it does not.")
 	RunNotDone = define(1353, zapcore.InfoLevel, "run not done",
 		"A run of a restartable job failed, was lost, stopped or refused; the task starts again unless its job has a verdict.")
 )
--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -40,6 +40,8 @@
 	// others before it refuses work for lack of room. The agents of an installation of three zones were
 	// seen to connect within 50 ms of each other.
 	startSettle = 200 * time.Millisecond
+	// reportInterval is the time between two reports of agents that begin or cease to get runs.
+	reportInterval = 100 * time.Millisecond
 	// absenceGrace is how long jobs wait for a service without a worker that takes starts.
 	absenceGrace = 3 * time.Second
 )
@@ -62,6 +64,8 @@
 	lostAt    time.Duration // when its runs are over for certain; zero while connected
 
 	state        wire.WorkerState
+	describedAt  time.Duration // when state arrived
+	reported     Closure
 	pending      []unseenOrder
 	lastOrder    uint64
 	blockedUntil time.Duration
@@ -80,7 +84,7 @@
 		a.state = wire.WorkerState{}
 	}
 	if a == nil {
-		a = &agent{id: e.Agent, tasks: map[*task]struct{}{}, standing: health.Trusted()}
+		a = &agent{id: e.Agent, tasks: map[*task]struct{}{}, standing: health.Trusted(), reported: Disconnected}
 		m.insertAgent(a)
 	}
 	a.zone, a.connected, a.listed, a.heardAt = e.AvailabilityZone, true, false, now
@@ -166,15 +170,71 @@
 	if state.Free != a.state.Free || state.Orders != a.state.Orders {
 		a.blockedUntil = min(a.blockedUntil, now+busyBlock)
 	}
-	a.state = *state
+	a.state, a.describedAt = *state, now
 	a.pending = slices.DeleteFunc(a.pending, func(o unseenOrder) bool { return o.sequence <= state.Orders })
 	m.shapesOf(state.Service).remember(now, state.Capacity, state.Open)
 }
 
+// Closure is why an agent gets no runs.
+type Closure uint8
+
+// The closures.
+const (
+	Open         Closure = iota // it gets runs
+	Disconnected                // no session, or no inventory on it yet
+	WorkerClosed                // its worker takes no starts, by the agent's last word
+	ZoneOut                     // its availability zone is out of service
+	Silent                      // no word for silentAfter
+	Probation                   // its runs fail more often than those of others
+	Suspect                     // runs of several jobs in a row have failed there
+)
+
+var closureNames = [...]string{"open", "disconnected", "worker_closed", "zone_out", "silent", "probation", "suspect"}
+
+// String returns the name used in logs.
+func (c Closure) String() string {
+	if int(c) < len(closureNames) {
+		return closureNames[c]
+	}
+	return "unknown"
+}
+
+// closure tells why the agent gets no runs whatever its room.
+func (m *Machine) closure(now time.Duration, a *agent) Closure {
+	switch {
+	case !a.connected || !a.listed:
+		return Disconnected
+	case !a.state.Open:
+		return WorkerClosed
+	case m.zoneOut[a.zone]:
+		return ZoneOut
+	case now >= a.heardAt+silentAfter:
+		return Silent
+	case now < a.standing.Until:
+		return Probation
+	case a.state.Failures >= suspectFailures && now < a.suspectUntil:
+		return Suspect
+	}
+	return Open
+}
+
 // open reports whether the agent takes orders.
 func (m *Machine) open(now time.Duration, a *agent) bool {
-	return a.connected && a.listed && a.state.Open && !m.zoneOut[a.zone] && now < a.heardAt+silentAfter &&
-		now >= a.standing.Until && a.runs() < a.standing.Limit && !a.suspect(now)
+	return m.closure(now, a) == Open && a.runs() < a.standing.Limit && !a.suspect(now)
+}
+
+// reportAgents reports the agents that began or ceased to get runs since the last report.
+func (m *Machine) reportAgents(now time.Duration) {
+	if now < m.reportAt {
+		return
+	}
+	m.reportAt = now + reportInterval
+	for _, a := range m.order {
+		if reason := m.closure(now, a); reason != a.reported {
+			a.reported = reason
+			m.act(AgentChanged{Agent: a.id, Reason: reason})
+		}
+	}
 }
 
 // suspect reports whether the worker has failed the runs of several jobs in a row, ordered by whatever
--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -132,11 +132,24 @@
 	Waiting   int           // tasks without a run
 }
 
-// Ordered reports that runs of a job were sent to an agent.
+// Ordered reports where runs of a job were sent in one step.
 type Ordered struct {
-	Job   string
-	Agent AgentID
-	Runs  []run.ID
+	Job        string
+	Placements []Placement
+}
+
+// Placement is what decided about the runs of a job at one agent.
+type Placement struct {
+	Agent     AgentID
+	Runs      int
+	Predicted time.Duration // run time of the last of them
+	StateAge  time.Duration // age of the agent's state that showed the room
+}
+
+// AgentChanged reports that an agent begins or ceases to get runs.
+type AgentChanged struct {
+	Agent  AgentID
+	Reason Closure // Open if it gets runs from now on
 }
 
 // RunEnded reports the outcome of a run.
@@ -145,7 +158,8 @@
 	End   run.End
 }
 
-func (Send) schedulerAction()     {}
-func (Decided) schedulerAction()  {}
-func (Ordered) schedulerAction()  {}
-func (RunEnded) schedulerAction() {}
+func (Send) schedulerAction()         {}
+func (Decided) schedulerAction()      {}
+func (Ordered) schedulerAction()      {}
+func (AgentChanged) schedulerAction() {}
+func (RunEnded) schedulerAction()     {}
--- a/internal/request/scheduler/installation_test.go
+++ b/internal/request/scheduler/installation_test.go
@@ -74,6 +74,8 @@
 	poisoned  map[string]bool
 	began     map[string]int // runs that have begun, by job
 	outcomes  map[string]*outcome
+	placed    map[string]int                 // runs that entries reported as ordered, by job
+	views     map[string][]scheduler.Closure // what entries reported of each agent
 	ordered   []*outcome
 	lastJob   int
 	incarnate uint64
@@ -85,6 +87,7 @@
 	i := &installation{
 		now: time.Hour, random: rand.New(rand.NewPCG(20261204, 3)), actual: map[run.Task]time.Duration{}, poisoned: map[string]bool{},
 		began: map[string]int{}, outcomes: map[string]*outcome{},
+		placed: map[string]int{}, views: map[string][]scheduler.Closure{},
 	}
 	for k := range agents {
 		n := &node{slowness: 1}
@@ -300,6 +303,12 @@
 			i.toAgent(f, entry, a)
 		case scheduler.Decided:
 			i.decided(a)
+		case scheduler.Ordered:
+			for _, p := range a.Placements {
+				i.placed[a.Job] += p.Runs
+			}
+		case scheduler.AgentChanged:
+			i.views[a.Agent.ID] = append(i.views[a.Agent.ID], a.Reason)
 		}
 	}
 }
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
-	"pollenpaddle/internal/model/run"
 )
 
 // Config holds the settings of a machine. A zero field takes its default.
@@ -44,6 +43,8 @@
 	held    time.Duration // mean time that a run holds its room; zero before the first one
 	arrival uint64
 	expiry  time.Duration // when the first job may need attention by time alone
+	// reportAt is when changes of the agents are next reported.
+	reportAt time.Duration
 
 	plan    []planned      // of the job that is being placed
 	orders  []pendingOrder // of this step
@@ -88,6 +89,7 @@
 	}
 	m.place(now)
 	m.flushOrders(now)
+	m.reportAgents(now)
 	return m.actions
 }
 
@@ -177,28 +179,40 @@
 	job   *jobState
 	need  int // index of the step whose needs the runs share
 	tasks []wire.OrderedTask
+	// predicted is the run time of the last task.
+	predicted time.Duration
 }
 
-// flushOrders sends the orders of the step, one message for each job, step and agent.
+// flushOrders sends the orders of the step, one message for each job, step and agent, and reports the
+// placements of each job.
 func (m *Machine) flushOrders(now time.Duration) {
-	for _, o := range m.orders {
-		s := o.job.submission
-		a := o.agent
-		a.lastOrder++
-		order := &wire.RunOrder{
-			Sequence: a.lastOrder, Job: s.ID, Service: s.Service, Priority: s.Priority, Patience: orderPatience,
-			Spec: s.Spec, Need: s.Steps[o.need].Need, Tasks: o.tasks,
+	for len(m.orders) > 0 {
+		first := m.orders[0].job
+		placed := Ordered{Job: first.submission.ID}
+		rest := m.orders[:0]
+		for _, o := range m.orders {
+			if o.job != first {
+				rest = append(rest, o)
+				continue
+			}
+			placed.Placements = append(placed.Placements, m.sendOrder(now, o))
 		}
-		ids := make([]run.ID, len(o.tasks))
-		for i, t := range o.tasks {
-			ids[i] = order.ID(t)
-		}
-		a.pending = append(a.pending, unseenOrder{sequence: a.lastOrder, priority: s.Priority, need: scale(order.Need, len(o.tasks))})
-		m.act(Send{Agent: a.id, Message: order})
-		m.act(Ordered{Job: s.ID, Agent: a.id, Runs: ids})
+		clear(m.orders[len(rest):])
+		m.orders = rest
+		m.act(placed)
+	}
+}
+
+func (m *Machine) sendOrder(now time.Duration, o pendingOrder) Placement {
+	s, a := o.job.submission, o.agent
+	a.lastOrder++
+	order := &wire.RunOrder{
+		Sequence: a.lastOrder, Job: s.ID, Service: s.Service, Priority: s.Priority, Patience: orderPatience,
+		Spec: s.Spec, Need: s.Steps[o.need].Need, Tasks: o.tasks,
 	}
-	clear(m.orders)
-	m.orders = m.orders[:0]
+	a.pending = append(a.pending, unseenOrder{sequence: a.lastOrder, priority: s.Priority, need: scale(order.Need, len(o.tasks))})
+	m.act(Send{Agent: a.id, Message: order})
+	return Placement{Agent: a.id, Runs: len(o.tasks), Predicted: o.predicted, StateAge: now - a.describedAt}
 }
 
 // addOrder adds a run to the orders of the step.
@@ -206,11 +220,11 @@
 	ordered := wire.OrderedTask{Step: uint16(t.step), Index: uint16(t.index), Number: t.number}
 	for i := range m.orders {
 		if o := &m.orders[i]; o.agent == a && o.job == t.job && o.need == t.step {
-			o.tasks = append(o.tasks, ordered)
+			o.tasks, o.predicted = append(o.tasks, ordered), t.predicted
 			return
 		}
 	}
-	m.orders = append(m.orders, pendingOrder{agent: a, job: t.job, need: t.step, tasks: []wire.OrderedTask{ordered}})
+	m.orders = append(m.orders, pendingOrder{agent: a, job: t.job, need: t.step, tasks: []wire.OrderedTask{ordered}, predicted: t.predicted})
 }
 
 func (m *Machine) insertAgent(a *agent) {
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -253,6 +253,23 @@
 		gomega.Expect(i.outcomes[idle.ID].Verdict).To(gomega.Equal(scheduler.Completed), "there was room")
 	})
 
+	// Guards against decisions that cannot be explained afterwards: logs are written from these reports.
+	ginkgo.It("reports where its runs were ordered, and why agents get none", func() {
+		i := newInstallation(1, 3)
+		id := i.submit(i.fronts[0], i.submission(kinds[0]))
+		i.advance(3 * time.Second)
+		gomega.Expect(i.placed[id]).To(gomega.Equal(i.outcomes[id].Facts.Orders))
+		i.stepAgent(i.nodes[0], runner.ZoneChanged{Out: true})
+		i.nodes[1].unreachable = true
+		i.stepEntry(i.fronts[0], scheduler.ZonesChanged{Out: []string{"b"}})
+		i.advance(time.Second)
+		i.disconnect(i.fronts[0], i.nodes[2])
+		i.advance(time.Second)
+		gomega.Expect(i.views["agent-00"]).To(gomega.Equal([]scheduler.Closure{scheduler.Open, scheduler.WorkerClosed}))
+		gomega.Expect(i.views["agent-01"]).To(gomega.Equal([]scheduler.Closure{scheduler.Open, scheduler.Silent}))
+		gomega.Expect(i.views["agent-02"]).To(gomega.Equal([]scheduler.Closure{scheduler.Open, scheduler.Disconnected}))
+	})
+
 	// Guards against a job that is tried for ever, and against workers that are blamed for it.
 	ginkgo.It("fails after its attempts if every run fails", func() {
 		i := newInstallation(1, 4)
