--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -121,7 +121,7 @@
 		m.callStop(r)
 	case NoAnswer:
 		m.unanswered(now)
-		m.callStop(r)
+		r.stopAt = now + unansweredRetry
 	default:
 		r.stopAt = now + stopRetry
 	}
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -55,6 +55,9 @@
 	lossyTime = 2 * time.Second
 	// renewRetry is the wait after a renewal that the worker did not get.
 	renewRetry = 50 * time.Millisecond
+	// unansweredRetry is the wait before a call without an answer is repeated. Most such calls have
+	// waited for their timeout; those to a worker that has just died end at once.
+	unansweredRetry = 10 * time.Millisecond
 	// silentAfter is the time without a report after which the worker gets no new starts.
 	silentAfter = 600 * time.Millisecond
 	// stopRetry is the wait before an unanswered stop is repeated.
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -38,6 +38,7 @@
 	looking  bool   // an extra call is under way
 	renewAt  time.Duration
 	wantLook bool
+	lookAt   time.Duration // earliest time of the next extra call
 	// lossyUntil is when calls count as reliable again.
 	lossyUntil time.Duration
 
@@ -162,7 +163,7 @@
 		}
 		m.callRenew(now, wait, false)
 	}
-	if w.wantLook && !w.looking {
+	if w.wantLook && !w.looking && now >= w.lookAt {
 		w.wantLook, w.looking = false, true
 		m.callRenew(now, 0, true)
 	}
@@ -211,13 +212,15 @@
 		m.raiseToken(e.Token)
 	default:
 		m.stats.RenewalsFailed++
+		retry := renewRetry
 		if e.Result == NoAnswer {
 			m.unanswered(now)
-		} else if !e.Look {
-			w.renewAt = now + renewRetry
+			retry = unansweredRetry
 		}
 		if e.Look {
-			w.wantLook = m.anyDoubtful()
+			w.wantLook, w.lookAt = m.anyDoubtful(), now+retry
+		} else {
+			w.renewAt = now + retry
 		}
 	}
 }
@@ -343,6 +346,9 @@
 	if !w.renewing {
 		consider(w.renewAt)
 	}
+	if w.wantLook && !w.looking {
+		consider(w.lookAt)
+	}
 	consider(w.heardAt + silentAfter)
 	consider(w.leaseEnd)
 }
