--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -53,8 +53,10 @@
 	lossyWait = 30 * time.Millisecond
 	// lossyTime is how long an unanswered call shows that others may get no answer either.
 	lossyTime = 2 * time.Second
-	// renewRetry is the wait after a renewal that the worker did not get.
-	renewRetry = 50 * time.Millisecond
+	// renewRetry is the wait after a renewal that the worker did not get. It doubles up to
+	// maxRenewRetry: each attempt is a new connection, and a worker that is back announces itself.
+	renewRetry    = 50 * time.Millisecond
+	maxRenewRetry = 400 * time.Millisecond
 	// unansweredRetry is the wait before a call without an answer is repeated. Most such calls have
 	// waited for their timeout; those to a worker that has just died end at once.
 	unansweredRetry = 10 * time.Millisecond
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -39,6 +39,7 @@
 	renewAt  time.Duration
 	wantLook bool
 	lookAt   time.Duration // earliest time of the next extra call
+	retry    time.Duration // last wait after renewals that the worker did not get
 	// lossyUntil is when calls count as reliable again.
 	lossyUntil time.Duration
 
@@ -59,6 +60,9 @@
 	if !w.present || w.id != e.Worker {
 		m.replaceWorker(now, e.Worker)
 	}
+	if w.retry > 0 {
+		w.retry, w.renewAt = 0, now
+	}
 	w.sequence, w.service, w.rack, w.labels = e.Sequence, e.Service, e.Rack, e.Labels
 	w.capacity, w.leaving = e.Capacity, e.Leaving
 	if e.Clock > 0 && w.clockAt == 0 {
@@ -212,7 +216,7 @@
 		m.raiseToken(e.Token)
 	default:
 		m.stats.RenewalsFailed++
-		retry := renewRetry
+		retry := w.backOff()
 		if e.Result == NoAnswer {
 			m.unanswered(now)
 			retry = unansweredRetry
@@ -225,6 +229,12 @@
 	}
 }
 
+// backOff returns the wait after a renewal that the worker did not get.
+func (w *workerState) backOff() time.Duration {
+	w.retry = min(max(renewRetry, 2*w.retry), maxRenewRetry)
+	return w.retry
+}
+
 // unanswered notes that a call got no answer.
 func (m *Machine) unanswered(now time.Duration) { m.worker.lossyUntil = now + lossyTime }
 
@@ -255,7 +265,7 @@
 		w.claimed = true
 		w.tokenStep = 0
 	}
-	w.heardAt = now
+	w.heardAt, w.retry = now, 0
 	if e.Report.Clock > 0 {
 		w.clock, w.clockAt = e.Report.Clock, now
 	}
