Ask for as many free agents as take runs before a wide job begins

Cause: a job wider than the free room was held back until as many tasks as the entry knows agents could be placed at once, also when most of them were out of service, cut off or gone; such jobs were refused while workers had room. Change: only agents that take runs at present count.

--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -48,8 +48,8 @@
 	// renewWait is how long the worker may wait with a report. The lease is renewed at least that
 	// often; two renewals may be lost before it lapses.
 	renewWait = 300 * time.Millisecond
-	// lossyWait is the same while calls get no answer. A lost report keeps the ends of all runs back
-	// until the call has timed out.
+	// lossyWait replaces renewWait while calls get no answer. A lost report keeps the ends of all runs
+	// back until the call has timed out.
 	lossyWait = 30 * time.Millisecond
 	// lossyTime is how long an unanswered call shows that others may get no answer either.
 	lossyTime = 2 * time.Second
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -59,8 +59,8 @@
 }
 
 // placeJob plans runs for the waiting tasks of a job and orders them. A job begins only if all of
-// its tasks, or as many as there are agents, can be placed at once: its answer needs the last of them,
-// and the others would hold room that narrower jobs can use.
+// its tasks, or as many as there are agents that take runs, can be placed at once: its answer needs the
+// last of them, and the others would hold room that narrower jobs can use.
 func (m *Machine) placeJob(now time.Duration, j *jobState, full *[]blockedNeed) {
 	m.plan = m.plan[:0]
 	for i := range j.tasks {
@@ -83,7 +83,7 @@
 	for _, p := range m.plan {
 		p.agent.planned = 0
 	}
-	if !j.started() && len(m.plan) < min(j.unplaced, max(1, len(m.order))) {
+	if !j.started() && len(m.plan) < j.unplaced && len(m.plan) < max(1, m.openAgents(now, j.submission.Service)) {
 		m.plan = m.plan[:0]
 		return
 	}
@@ -95,6 +95,17 @@
 	m.plan = plan[:0]
 }
 
+// openAgents counts the agents of a service that take runs, whatever their room.
+func (m *Machine) openAgents(now time.Duration, service string) int {
+	n := 0
+	for _, a := range m.order {
+		if a.state.Service == service && m.closure(now, a) == Open {
+			n++
+		}
+	}
+	return n
+}
+
 func isBlocked(full []blockedNeed, s *Submission, need job.Resources) bool {
 	return slices.ContainsFunc(full, func(b blockedNeed) bool {
 		return b.service == s.Service && b.priority <= s.Priority && need.Fits(b.need)
