Keep runs at their entry that would wait long at an agent

Cause: every entry may have a run of each priority waiting at every agent. Change: a run goes to a full agent only if its predicted wait there is below 30 ms, and five and nine times less for the less urgent priorities.

--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -13,6 +13,12 @@
 	orderPatience = 80 * time.Millisecond
 	// roundTrip is the part of a job's time that is spent between caller, entry, agent and worker.
 	roundTrip = 14 * time.Millisecond
+	// maxAgentWait is the predicted wait for room at an agent above which a run stays at its entry, for
+	// the most urgent priority; agentWaitStep is by how much the divisor of it grows with each priority.
+	// Urgent runs get the room that is freed; the others would only wait there, be refused after
+	// orderPatience and end late, the more so the more entries send them.
+	maxAgentWait  = 30 * time.Millisecond
+	agentWaitStep = 4
 	// lookInterval is the time between two looks at a job whose tasks run or wait.
 	lookInterval = 25 * time.Millisecond
 	// lateProgress is the mean ratio of elapsed to predicted time over the runs of an agent from which
@@ -180,7 +186,7 @@
 
 // roomAt tells whether a run may be sent to the agent. An entry has at most one run of each priority
 // waiting at each agent, so that the agent, which serves by priority, can choose between entries and
-// a freed room is used at once.
+// a freed room is used at once. No run is sent to wait there for longer than that takes.
 func (m *Machine) roomAt(a *agent, need job.Resources, priority int) room {
 	free := job.Difference(a.state.Free, m.ordered(a))
 	waits := !free.Fits(job.Resources{})
@@ -198,7 +204,8 @@
 		return room{}
 	}
 	missing := max(1, need.MilliProcessors-free.MilliProcessors)
-	return room{ok: true, wait: time.Duration(float64(missing) / float64(capacity) * float64(m.meanRun())), free: -missing}
+	wait := time.Duration(float64(missing) / float64(capacity) * float64(m.meanRun()))
+	return room{ok: wait <= maxAgentWait/time.Duration(1+agentWaitStep*priority), wait: wait, free: -missing}
 }
 
 // meanRun is the mean time that a run holds its room, over all queues.
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -40,6 +40,23 @@
 		}
 	})
 
+	// Guards against runs of many entries that queue up at the same agents until every job is late. The
+	// load is 104% of what the workers can do; ten entries have to do nearly as well as three.
+	ginkgo.It("keeps jobs in time in a burst however many entries there are", func() {
+		inTimeWith := func(entries int) float64 {
+			i := newInstallation(entries, 22)
+			i.load(2*time.Second, 1.6)
+			from := len(i.ordered)
+			i.load(5*time.Second, 3)
+			i.advance(8 * time.Second)
+			i.table()
+			return i.share(from, inTime)
+		}
+		few, many := inTimeWith(3), inTimeWith(10)
+		fmt.Fprintf(ginkgo.GinkgoWriter, "  in time with 3 entries %.3f, with 10 entries %.3f\n", few, many)
+		gomega.Expect(many).To(gomega.BeNumerically(">", 0.9*few))
+	})
+
 	// Guards against a worker that fails all it starts, looks idle and drains the queue.
 	ginkgo.It("loses few runs to a worker that fails everything", func() {
 		i := newInstallation(3, 11)
