Let only runs that began after a failure clear a worker

Change: only a run that began after the last failure clears the count, and the agent applies the rule of one run at a time itself, so that orders that are on their way when an entry learns of it do not fail as well.

--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -66,6 +66,11 @@
 	stopRetry = 50 * time.Millisecond
 	// stateInterval is the shortest time between two reports of the worker's state to one entry.
 	stateInterval = 15 * time.Millisecond
+	// SuspectFailures is the number of jobs in a row of which a run has failed on the worker from which
+	// it gets one run at a time. Jobs fail by themselves in some 0.2% of the cases.
+	SuspectFailures = 3
+	// SuspectTime is the pause between such runs.
+	SuspectTime = 2 * time.Second
 	// maxWaiting bounds the orders that wait at the agent.
 	maxWaiting = 256
 )
@@ -179,6 +184,9 @@
 			m.settle(now, m.queue[0], run.Refused, run.Closed)
 		}
 	}
+	for m.suspect(now) && len(m.queue) > 0 {
+		m.settle(now, m.queue[0], run.Refused, run.Unhealthy)
+	}
 	for i := 0; i < len(m.queue); {
 		if r := m.queue[i]; m.mayStart(r) {
 			m.queue = slices.Delete(m.queue, i, i+1)
@@ -196,6 +204,13 @@
 	return w.present && w.claimed && !w.leaving && !m.zoneOut && !m.draining && now < w.heardAt+silentAfter
 }
 
+// suspect reports whether the worker has failed several jobs in a row and gets no run at present. The
+// entries apply the same rule, but what they have ordered meanwhile would fail as well.
+func (m *Machine) suspect(now time.Duration) bool {
+	w := &m.worker
+	return w.failures >= SuspectFailures && (now < w.failedAt+SuspectTime || len(m.byTask) > 0)
+}
+
 // mayStart reports whether the run fits now. The needs of strangers are not known, so nothing starts
 // beside them.
 func (m *Machine) mayStart(r *record) bool {
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -32,6 +32,7 @@
 
 	failures  int    // jobs in a row of which a run has failed
 	failedJob string // the last of them
+	failedAt  time.Duration
 
 	seen     uint64 // number of the newest end
 	renewing bool   // the call that waits for ends is under way
@@ -291,7 +292,7 @@
 	if r == nil || r.phase == waiting {
 		return
 	}
-	w.judge(end)
+	w.judge(now, end, r.startedAt)
 	outcome := end.Outcome
 	if outcome == run.Stopped && !r.cancelled {
 		outcome = run.Lost
@@ -299,13 +300,14 @@
 	m.settle(now, r, outcome, 0)
 }
 
-// judge counts jobs that fail one after the other. Several failed runs of one job may be its own fault.
-func (w *workerState) judge(end RunEnd) {
+// judge counts jobs that fail one after the other. Several failed runs of one job may be its own fault,
+// and a run that began before the last failure shows nothing about the worker since then.
+func (w *workerState) judge(now time.Duration, end RunEnd, startedAt time.Duration) {
 	switch {
-	case end.Outcome == run.Done:
+	case end.Outcome == run.Done && startedAt >= w.failedAt:
 		w.failures, w.failedJob = 0, ""
 	case end.Outcome == run.Failed && end.Run.Task.Job != w.failedJob:
-		w.failures, w.failedJob = w.failures+1, end.Run.Task.Job
+		w.failures, w.failedJob, w.failedAt = w.failures+1, end.Run.Task.Job, now
 	}
 }
 
--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -23,11 +23,6 @@
 	busyBlock = 8 * time.Millisecond
 	// unhealthyBlock is how long an agent that refused for another reason gets no order.
 	unhealthyBlock = 250 * time.Millisecond
-	// suspectFailures is the number of jobs in a row of which a run has failed on a worker from which it
-	// gets one run at a time. Jobs fail by themselves in some 0.2% of the cases.
-	suspectFailures = 3
-	// suspectTime is the pause between such runs.
-	suspectTime = 2 * time.Second
 	// lossBound is the time after the end of a session after which none of its runs goes on: the
 	// agent stops them after the owner term, and if it is gone, their lease has lapsed.
 	lossBound = runner.OwnerTerm + runner.DefaultLeaseTerm + 200*time.Millisecond
@@ -165,7 +160,7 @@
 // describe adopts the state of the agent's worker.
 func (m *Machine) describe(now time.Duration, a *agent, state *wire.WorkerState) {
 	if state.Failures > a.state.Failures {
-		a.suspectUntil = now + suspectTime
+		a.suspectUntil = now + runner.SuspectTime
 	}
 	if state.Free != a.state.Free || state.Orders != a.state.Orders {
 		a.blockedUntil = min(a.blockedUntil, now+busyBlock)
@@ -212,7 +207,7 @@
 		return Silent
 	case now < a.standing.Until:
 		return Probation
-	case a.state.Failures >= suspectFailures && now < a.suspectUntil:
+	case a.state.Failures >= runner.SuspectFailures && now < a.suspectUntil:
 		return Suspect
 	}
 	return Open
@@ -240,7 +235,7 @@
 // suspect reports whether the worker has failed the runs of several jobs in a row, ordered by whatever
 // entry. From time to time one run is tried.
 func (a *agent) suspect(now time.Duration) bool {
-	return a.state.Failures >= suspectFailures && (now < a.suspectUntil || a.runs() > 0)
+	return a.state.Failures >= runner.SuspectFailures && (now < a.suspectUntil || a.runs() > 0)
 }
 
 // runs is the number of runs that are ordered there or about to be.
