--- a/internal/connection/session/connect_test.go
+++ b/internal/connection/session/connect_test.go
@@ -15,7 +15,7 @@
 )
 
 // silentAddress returns the address of a listener that drops opening packets, as a machine without
-// power does: nobody accepts, and its queue is full.
+// power does: it accepts no connection, and its queue is full.
 func silentAddress() string {
 	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -115,7 +115,7 @@
 	RunCallRefused = define(1412, zapcore.InfoLevel, "worker did not do what it was asked",
 		"A start was refused or got no answer, or a renewal of the lease failed; the field result tells which. After no_answer the agent looks whether the run is there and stops it if not.")
 	RunStopped = define(1413, zapcore.InfoLevel, "stop of a run",
-		"The agent has asked the worker to stop a run, because its owner cancelled it or was not heard of, or because nobody ordered it.")
+		"The agent has asked the worker to stop a run, because its owner cancelled it or was not heard of, or because no entry has ordered it.")
 	PlatformFailed = define(1409, zapcore.ErrorLevel, "worker platform failed",
 		"An operation of the worker platform failed. Without a lease the task is refused and placed elsewhere.")
 )
--- a/internal/process/logging/writer.go
+++ b/internal/process/logging/writer.go
@@ -74,7 +74,7 @@
 }
 
 // New returns a logger that writes JSON lines to standard output from the given level on, and a
-// function that returns the number of lines dropped because nobody read them.
+// function that returns the number of lines dropped because the reader of the output did not keep up.
 func New(level zapcore.Level) (*zap.Logger, func() uint64) {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
--- a/internal/process/logging/writer_test.go
+++ b/internal/process/logging/writer_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// TestWriterDropsLines guards against a process that stops because nobody reads its log.
+// TestWriterDropsLines guards against a process that blocks on an output that is not read.
 func TestWriterDropsLines(t *testing.T) {
 	reader, out, err := os.Pipe()
 	if err != nil {
--- a/internal/request/health/health_test.go
+++ b/internal/request/health/health_test.go
@@ -25,7 +25,7 @@
 }
 
 var _ = ginkgo.Describe("the tolerance", func() {
-	// Guards against agents that are blamed for a class that fails everywhere, and against a worker that
+	// Guards against probations for a class that fails at every agent, and against a worker that
 	// may fail often before it is noticed.
 	ginkgo.It("grows with the share of failures over all agents", func() {
 		rare, half, all := rateOf(0, 10), rateOf(5, 10), rateOf(10, 10)
@@ -36,7 +36,7 @@
 	})
 
 	// Guards against a probation of every agent when a class has never had a good answer.
-	ginkgo.It("blames nobody before the first good answer", func() {
+	ginkgo.It("puts no agent on probation before the first good answer", func() {
 		var r health.Rate
 		r.Observe(true)
 		gomega.Expect(r.Tolerated()).To(gomega.BeNumerically(">=", 1000))
@@ -87,7 +87,7 @@
 
 	// Guards against an agent that stays limited after it has recovered, and against one that gets its
 	// whole room back with the first good answer.
-	ginkgo.It("returns by doubling the starts, and forgets the probations then", func() {
+	ginkgo.It("doubles the starts with each good answer, and resets the count of probations", func() {
 		s := health.Trusted()
 		for !s.Fail(0, tolerated) {
 		}
--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -62,7 +62,7 @@
 // Submitted is a new job. One whose id is known is ignored.
 type Submitted struct{ Submission *Submission }
 
-// Cancelled reports that nobody waits for the job any more, or that its caller has cancelled it.
+// Cancelled reports that the last caller of the job has left, or that it was cancelled.
 type Cancelled struct{ Job string }
 
 // Tick lets the machine act on the time alone. The shell sends it when NextWake is due.
--- a/internal/request/scheduler/installation_test.go
+++ b/internal/request/scheduler/installation_test.go
@@ -232,7 +232,7 @@
 
 func (i *installation) callWorker(n *node, agent scheduler.AgentID, action runner.Action) {
 	if n.worker.Down || n.id != agent {
-		return // a dead worker gives no answer, and nobody waits for that of a dead agent
+		return // no answer: the worker is down, or the agent that made the call has been replaced
 	}
 	if i.random.Float64() < n.mute {
 		i.leaveUnanswered(n, agent, action)
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -234,7 +234,7 @@
 	}
 }
 
-// cancelled gives up a job that nobody waits for.
+// cancelled gives up a job without a caller that waits for it.
 func (m *Machine) cancelled(now time.Duration, id string) {
 	j := m.jobs[id]
 	switch {
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -287,7 +287,7 @@
 		gomega.Expect(i.views["agent-02"]).To(gomega.Equal([]scheduler.Closure{scheduler.Open, scheduler.Disconnected}))
 	})
 
-	// Guards against a job that is tried for ever, and against workers that are blamed for it.
+	// Guards against a job that is tried for ever, and against probations of workers because of it.
 	ginkgo.It("fails after its attempts if every run fails", func() {
 		i := newInstallation(1, 4)
 		s := i.submission(kinds[0])
