--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -1,7 +1,6 @@
 package wire_test
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -20,11 +19,7 @@
 	"pollenpaddle/internal/testutil"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 func TestWire(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/internal/process/entry/suite_test.go
+++ b/internal/process/entry/suite_test.go
@@ -1,8 +1,6 @@
 package entry_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -12,11 +10,7 @@
 	"pollenpaddle/internal/testutil"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 func TestEntry(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -1,8 +1,6 @@
 package admission_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -16,11 +14,7 @@
 	"pollenpaddle/internal/testutil"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 func TestAdmission(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/internal/request/claim/suite_test.go
+++ b/internal/request/claim/suite_test.go
@@ -1,8 +1,6 @@
 package claim_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -12,9 +10,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid(testutil.RapidFlag{Name: "steps", Value: "300"}, testutil.RapidFlag{Name: "checks", Value: "1500"})
-	os.Exit(m.Run())
+	testutil.Main(m, testutil.RapidFlag{Name: "steps", Value: "300"}, testutil.RapidFlag{Name: "checks", Value: "1500"})
 }
 
 func TestClaim(t *testing.T) {
--- a/internal/request/runner/suite_test.go
+++ b/internal/request/runner/suite_test.go
@@ -1,8 +1,6 @@
 package runner_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -12,9 +10,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid(testutil.RapidFlag{Name: "checks", Value: "800"}, testutil.RapidFlag{Name: "shrinktime", Value: "5s"})
-	os.Exit(m.Run())
+	testutil.Main(m, testutil.RapidFlag{Name: "checks", Value: "800"}, testutil.RapidFlag{Name: "shrinktime", Value: "5s"})
 }
 
 func TestRunner(t *testing.T) {
--- a/internal/version/catalog/catalog_test.go
+++ b/internal/version/catalog/catalog_test.go
@@ -1,7 +1,6 @@
 package catalog_test
 
 import (
-	"flag"
 	"fmt"
 	"reflect"
 	"testing"
@@ -16,11 +15,7 @@
 	"pollenpaddle/internal/version/catalog"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid()
-	m.Run()
-}
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 func TestCatalog(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/internal/version/lease/lease_test.go
+++ b/internal/version/lease/lease_test.go
@@ -1,7 +1,6 @@
 package lease_test
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -13,11 +12,7 @@
 	"pollenpaddle/internal/version/lease"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid()
-	m.Run()
-}
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 func TestLease(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/internal/version/replication/suite_test.go
+++ b/internal/version/replication/suite_test.go
@@ -1,8 +1,6 @@
 package replication_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -13,9 +11,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid(testutil.RapidFlag{Name: "checks", Value: "400"}, testutil.RapidFlag{Name: "steps", Value: "60"})
-	os.Exit(m.Run())
+	testutil.Main(m, testutil.RapidFlag{Name: "checks", Value: "400"}, testutil.RapidFlag{Name: "steps", Value: "60"})
 }
 
 func TestReplication(t *testing.T) {
--- a/internal/version/storage/suite_test.go
+++ b/internal/version/storage/suite_test.go
@@ -1,8 +1,6 @@
 package storage_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -12,11 +10,7 @@
 	"pollenpaddle/internal/testutil"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	testutil.FixRapid()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testutil.Main(m) }
 
 func TestStorage(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
