Count the capacities of connected agents as known at any age

Cause: agents send the state of their worker only when it changes, but the scheduler forgot a capacity 60 s after the last state message. After a quiet minute every restartable job failed as one that fits no worker. The grace of serviceAbsenceGrace began with the last state message too, so a job that came after an idle period was refused as soon as the last agent left.

Change: the capacity of a connected agent always counts. A capacity is recorded with the time of the last message when its agent disconnects or reports another one, and the grace begins then. A job fits no worker only if some capacity is known and none of them covers a task.

Other state that expires: usage reports (3 s) and announcements (3 s) are sent again every second while they hold, so their absence is a statement; the capacities of the dispatcher are recorded with each announcement; the worker's report is renewed every 300 ms. None of them depends on a message that is sent only on change.

--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -28,8 +28,8 @@
 	// lossTimeout is how long after the end of a session this entry's runs at the agent may still be
 	// executing: the agent stops them after the owner timeout, and if the agent is gone, their lease expires.
 	lossTimeout = runner.OwnerTimeout + runner.DefaultLeaseTerm + 200*time.Millisecond
-	// capacityRetention is how long a capacity counts, after the last state message that contained it, when
-	// deciding whether a task fits any worker.
+	// capacityRetention is how long the capacity of a worker counts after its agent has disconnected or has
+	// reported another one, when deciding whether a task fits any worker.
 	capacityRetention = time.Minute
 	// startupGrace is how long a newly started process accepts jobs without a known worker: agents
 	// connect within a few hundred milliseconds.
@@ -41,7 +41,7 @@
 	// reportInterval is the minimum time between two reports of eligibility changes.
 	reportInterval = 100 * time.Millisecond
 	// serviceAbsenceGrace is how long jobs are accepted for a service without an available agent after
-	// the last state message in which a worker of it accepted starts.
+	// the last message from an agent whose worker accepted starts.
 	serviceAbsenceGrace = 3 * time.Second
 )
 
@@ -78,6 +78,9 @@
 
 func (m *Machine) connect(now time.Duration, e AgentConnected) {
 	a := m.agents[e.Agent.ID]
+	if a != nil && a.connected {
+		m.rememberState(a)
+	}
 	if a != nil && a.id != e.Agent {
 		// The earlier agent process is gone. Its runs end as lost when the inventory of the new process
 		// arrives, unless it lists them.
@@ -104,6 +107,7 @@
 	if a == nil || a.id != id || !a.connected {
 		return
 	}
+	m.rememberState(a)
 	a.connected, a.inventoryReceived, a.state.Open, a.unreported = false, false, false, nil
 	a.lossDeadline = now + lossTimeout
 }
@@ -166,6 +170,7 @@
 
 // applyState stores the state of the agent's worker.
 func (m *Machine) applyState(now time.Duration, a *agent, state *wire.WorkerState) {
+	m.rememberState(a)
 	if state.Failures > a.state.Failures {
 		a.suspectUntil = now + runner.SuspectRetryInterval
 	}
@@ -251,11 +256,11 @@
 // runs returns the number of active and planned runs.
 func (a *agent) runs() int { return len(a.tasks) + a.plannedRuns }
 
-// serviceWorkers holds the recently reported capacities of the workers of one service, and when they
-// reported that they accept starts.
+// serviceWorkers holds what is remembered of the workers of one service, beside the states of the
+// connected agents.
 type serviceWorkers struct {
 	capacities  []recordedCapacity
-	lastOpenAt  time.Duration // when the last state arrived in which a worker accepts starts
+	lastOpenAt  time.Duration // when an agent, since disconnected or closed, was last known to accept starts
 	everOpen    bool
 	firstOpenAt time.Duration // when the first state arrived in which a worker accepts starts
 }
@@ -279,11 +284,11 @@
 		s.firstOpenAt = now
 	}
 	if open {
-		s.lastOpenAt, s.everOpen = now, true
+		s.lastOpenAt, s.everOpen = max(s.lastOpenAt, now), true
 	}
 	for i := range s.capacities {
 		if s.capacities[i].capacity == capacity {
-			s.capacities[i].at = now
+			s.capacities[i].at = max(s.capacities[i].at, now)
 			return
 		}
 	}
@@ -291,14 +296,33 @@
 	s.capacities = append(s.capacities, recordedCapacity{capacity: capacity, at: now})
 }
 
-// neverFits reports whether a task of the job exceeds every capacity of its service that was reported
-// within capacityRetention. It is false while no capacity is recorded. A capacity older than
-// capacityRetention fits no task, but stays recorded until another one is added.
+// rememberState records what the agent's last state said before it is replaced or no longer holds. Agents
+// send the state of their workers only on change, so until then it counts as current while messages arrive.
+func (m *Machine) rememberState(a *agent) {
+	if a.state.Service == "" {
+		return
+	}
+	m.workersOf(a.state.Service).recordCapacity(a.heardAt, a.state.Capacity, a.state.Open)
+}
+
+// neverFits reports whether a task of the job exceeds every known capacity of its service: those of the
+// workers of connected agents, and those of other workers that were known within capacityRetention. It is
+// false while no capacity is known.
 func (m *Machine) neverFits(now time.Duration, j *jobState) bool {
-	recorded := m.workersOf(j.submission.Service).capacities
+	var known []job.Resources
+	for _, k := range m.workersOf(j.submission.Service).capacities {
+		if now-k.at <= capacityRetention {
+			known = append(known, k.capacity)
+		}
+	}
+	for _, a := range m.sortedAgents {
+		if a.connected && a.state.Service == j.submission.Service && !slices.Contains(known, a.state.Capacity) {
+			known = append(known, a.state.Capacity)
+		}
+	}
 	for _, step := range j.submission.Steps {
-		fits := func(k recordedCapacity) bool { return now-k.at <= capacityRetention && k.capacity.Covers(step.Need) }
-		if len(recorded) > 0 && !slices.ContainsFunc(recorded, fits) {
+		fits := func(capacity job.Resources) bool { return capacity.Covers(step.Need) }
+		if len(known) > 0 && !slices.ContainsFunc(known, fits) {
 			return true
 		}
 	}
@@ -306,15 +330,22 @@
 }
 
 // serviceAvailable reports whether an agent of the service may get another run, whether a worker of it
-// reported within serviceAbsenceGrace that it accepts starts, or whether agents are still connecting.
+// was known within serviceAbsenceGrace to accept starts, or whether agents are still connecting.
 func (m *Machine) serviceAvailable(now time.Duration, service string) bool {
+	s := m.workersOf(service)
+	lastOpenAt, everOpen := s.lastOpenAt, s.everOpen
 	for _, a := range m.sortedAgents {
-		if a.state.Service == service && m.available(now, a) {
+		if a.state.Service != service {
+			continue
+		}
+		if m.available(now, a) {
 			return true
 		}
+		if a.state.Open {
+			lastOpenAt = max(lastOpenAt, a.heardAt)
+		}
 	}
-	s := m.workersOf(service)
-	return s.everOpen && now-s.lastOpenAt < serviceAbsenceGrace || m.awaitingAgents(now, service)
+	return everOpen && now-lastOpenAt < serviceAbsenceGrace || m.awaitingAgents(now, service)
 }
 
 // awaitingAgents reports whether this process has just started and agents are still connecting. Jobs
--- a/internal/request/scheduler/cluster_test.go
+++ b/internal/request/scheduler/cluster_test.go
@@ -121,8 +121,12 @@
 }
 
 func (c *cluster) announce(n *node) {
+	c.announceCapacity(n, workerCapacity)
+}
+
+func (c *cluster) announceCapacity(n *node, capacity job.Resources) {
 	c.stepAgent(n, runner.WorkerAnnounced{
-		Worker: n.worker.ID, Sequence: uint64(c.now), Service: service, Capacity: workerCapacity, Clock: n.worker.Clock(c.now),
+		Worker: n.worker.ID, Sequence: uint64(c.now), Service: service, Capacity: capacity, Clock: n.worker.Clock(c.now),
 	})
 }
 
