Bound the sessions of an agent by a subset of the entries

Cause: every agent kept a session with every entry, polled it every 250 ms and sent it each change of its worker's state. With 55 entries and 240 agents that is 13,200 sessions; an entry with a seventh of a core received 960 polls a second at rest and thousands of states under load, and all jobs were late.

Change: package connection/subset chooses the entries of an agent by rendezvous hashing, spread over the availability zones (setting entry_sessions, default 10; all entries if there are no more). When the list of entries changes, the session with an entry that is no longer chosen is retired: the worker is closed for that entry, its runs and starts end, and the session is closed after one second. States are sent every 3 ms times the active entries, 15 ms at least, and every 250 ms to entries that sent no order for 2 s.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -19,6 +19,7 @@
 
 	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
+	"pollenpaddle/internal/connection/subset"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/process/configfeed"
@@ -38,6 +39,8 @@
 	Identity session.Identity
 	Key      []byte
 	Seeds    []string // seeds at the start (host:port); see configfeed.Client.Seeds
+	// EntrySessions is the number of entries with which the agent keeps sessions; zero selects subset.DefaultSize.
+	EntrySessions int
 	// Upstream is the address (host:port) of a static upstream. The agent announces it with
 	// StaticAnnouncement while it accepts connections. It is empty if the upstream announces itself.
 	Upstream           string
@@ -68,10 +71,11 @@
 	// workerAnnounced is the newest announcement of the worker, for logging.
 	workerAnnounced       runner.WorkerAnnounced
 	sessions              map[startgate.EntryID]*session.Session
-	zoneOut               bool          // the agent's availability zone is out of service
-	configurationLeaseEnd time.Duration // boot-time clock
-	dropped               uint64        // number of dropped results at the last log line
-	drained               chan struct{} // closed when a drain is complete; nil unless draining
+	retiring              map[*session.Session]struct{} // sessions that are to be closed once idle
+	zoneOut               bool                          // the agent's availability zone is out of service
+	configurationLeaseEnd time.Duration                 // boot-time clock
+	dropped               uint64                        // number of dropped results at the last log line
+	drained               chan struct{}                 // closed when a drain is complete; nil unless draining
 
 	workerOpen atomic.Bool // the worker accepts runs of restartable jobs; set but not read
 	ready      atomic.Pointer[readiness]
@@ -89,10 +93,13 @@
 	if config.Logger == nil {
 		config.Logger = zap.NewNop()
 	}
+	if config.EntrySessions <= 0 {
+		config.EntrySessions = subset.DefaultSize
+	}
 	config.StaticAnnouncement = withHostCapacity(config.StaticAnnouncement)
 	a := &Agent{
 		config: config, startGate: startgate.New(startgate.Config{Incarnation: config.Identity.Incarnation}),
-		sessions: map[startgate.EntryID]*session.Session{}, runner: runner.New(runner.Config{Token: config.Token}),
+		sessions: map[startgate.EntryID]*session.Session{}, retiring: map[*session.Session]struct{}{}, runner: runner.New(runner.Config{Token: config.Token}),
 	}
 	a.ready.Store(&readiness{})
 	a.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: a}
@@ -154,7 +161,9 @@
 		session *session.Session
 		err     error
 	}
-	sessionMessages struct {
+	// sessionSuperseded reports that the agent keeps sessions with other entries instead.
+	sessionSuperseded struct{ session *session.Session }
+	sessionMessages   struct {
 		session  *session.Session
 		messages []wire.Message
 	}
@@ -187,7 +196,13 @@
 		a.sessions[entryOf(e.session)] = e.session
 		a.stepStartGate(startgate.Connected{Entry: entryOf(e.session)})
 		a.stepRunner(runner.Connected{Entry: runner.EntryID(entryOf(e.session))})
+		if a.dialers.isSuperseded(e.session) {
+			a.retireSession(e.session)
+		}
+	case sessionSuperseded:
+		a.retireSession(e.session)
 	case sessionClosed:
+		delete(a.retiring, e.session)
 		logging.Log(a.config.Logger, logging.SessionClosed, zap.String("entry", e.session.Peer().ID), zap.Error(e.err))
 		if a.sessions[entryOf(e.session)] == e.session {
 			delete(a.sessions, entryOf(e.session))
@@ -253,6 +268,7 @@
 	if wake, ok := a.wakeRunner(); ok && (!due || wake < next) {
 		next, due = wake, true
 	}
+	a.closeRetired()
 	a.publishState()
 	if !due {
 		return -1
--- a/internal/process/agent/entries.go
+++ b/internal/process/agent/entries.go
@@ -9,9 +9,13 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
+	"pollenpaddle/internal/connection/subset"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/process/logging"
+	"pollenpaddle/internal/request/runner"
+	"pollenpaddle/internal/request/startgate"
 	"pollenpaddle/internal/version/catalog"
 )
 
@@ -23,20 +27,22 @@
 	maxRedialBackoff = time.Second
 )
 
-// dialerSet holds one dialer for each entry of the configuration.
+// dialerSet holds one dialer for each entry that package subset has chosen from the configuration.
 type dialerSet struct {
 	mu        sync.Mutex
 	ctx       context.Context // nil before Run
 	group     *errgroup.Group
 	byAddress map[string]*dialer
+	listed    map[string]bool // the addresses of all entries of the configuration
 	closed    bool
 }
 
-// dialer redials one entry until stop is closed. Closing stop does not end an open session, because
-// an entry that was removed from the configuration may still finish jobs.
+// dialer redials one entry until stop is closed. Closing stop does not end an open session: an entry that
+// was removed from the configuration may still finish jobs, and the session with an entry that is no longer
+// chosen is retired first.
 type dialer struct {
 	stop    chan struct{}
-	session *session.Session // set while a session is open; not read
+	session *session.Session // set while a session is open
 	opened  bool             // the last dial has opened a session
 }
 
@@ -47,7 +53,7 @@
 	d.ctx, d.group = ctx, group
 }
 
-// dialEntries starts dialers for new entries and stops those of removed ones.
+// dialEntries starts dialers for newly chosen entries and stops those of others.
 func (a *Agent) dialEntries(entries []catalog.Entry) {
 	d := &a.dialers
 	d.mu.Lock()
@@ -55,8 +61,12 @@
 	if d.ctx == nil || d.closed {
 		return
 	}
-	wanted := map[string]bool{}
+	d.listed = map[string]bool{}
 	for _, entry := range entries {
+		d.listed[entry.Address] = true
+	}
+	wanted := map[string]bool{}
+	for _, entry := range subset.Choose(a.config.Identity.ID, entries, a.config.EntrySessions) {
 		wanted[entry.Address] = true
 		if d.byAddress[entry.Address] == nil {
 			added := &dialer{stop: make(chan struct{})}
@@ -66,9 +76,46 @@
 		}
 	}
 	for address, existing := range d.byAddress {
-		if !wanted[address] {
-			close(existing.stop)
-			delete(d.byAddress, address)
+		if wanted[address] {
+			continue
+		}
+		close(existing.stop)
+		delete(d.byAddress, address)
+		if existing.session != nil && d.listed[address] {
+			a.loop.Post(sessionSuperseded{existing.session})
+		}
+	}
+}
+
+// isSuperseded reports whether the agent no longer keeps a session with the entry, although the configuration
+// still lists it.
+func (d *dialerSet) isSuperseded(s *session.Session) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.closed && d.byAddress[s.DialedAddress()] == nil && d.listed[s.DialedAddress()]
+}
+
+// retireSession withdraws the worker and the upstream from an entry. closeRetired closes the session when
+// nothing of the entry is left here.
+func (a *Agent) retireSession(s *session.Session) {
+	if a.sessions[entryOf(s)] != s {
+		return
+	}
+	a.retiring[s] = struct{}{}
+	a.stepStartGate(startgate.Retired{Entry: entryOf(s)})
+	a.stepRunner(runner.Retired{Entry: runner.EntryID(entryOf(s))})
+}
+
+// closeRetired closes the retired sessions that are no longer needed, and those that a new session with the
+// same entry has replaced.
+func (a *Agent) closeRetired() {
+	for s := range a.retiring {
+		id := entryOf(s)
+		replaced := a.sessions[id] != s
+		if replaced || a.startGate.Retirable(id) && a.runner.Retirable(clock.SinceBoot(), runner.EntryID(id)) {
+			delete(a.retiring, s)
+			logging.Log(a.config.Logger, logging.SessionRetired, zap.String("entry", id.ID), zap.String("address", s.DialedAddress()))
+			go s.Close() // waits for the peer
 		}
 	}
 }
--- a/internal/process/daemon/assemble.go
+++ b/internal/process/daemon/assemble.go
@@ -100,7 +100,7 @@
 	if s.HasRole(wire.RoleAgent) {
 		identity.Role = wire.RoleAgent
 		d.add(wire.RoleAgent, agent.New(agent.Config{
-			Identity: identity, Key: key, Seeds: s.Process.ControlMembers, Upstream: s.Agent.Upstream,
+			Identity: identity, Key: key, Seeds: s.Process.ControlMembers, Upstream: s.Agent.Upstream, EntrySessions: s.Agent.EntrySessions,
 			StaticAnnouncement: wire.Announce{
 				Upstream: s.Agent.UpstreamName, Rack: s.Agent.Rack, Slots: s.Agent.Slots, Connections: s.Agent.Connections,
 				Capacity: job.Resources{
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -27,7 +27,9 @@
 	SessionOpened = define(1101, zapcore.InfoLevel, "session opened",
 		"A session of this agent with an entry is open.")
 	SessionClosed = define(1102, zapcore.InfoLevel, "session closed",
-		"A session of this agent with an entry ended; the field error gives the reason. Until it has drained, the agent dials the entry again while the configuration lists it.")
+		"A session of this agent with an entry ended; the field error gives the reason. Until it has drained, the agent dials the entry again while it keeps sessions with that entry.")
+	SessionRetired = define(1103, zapcore.InfoLevel, "session retired",
+		"The list of entries has changed, and this agent keeps sessions with other entries instead (entry_sessions). Nothing of the entry was left here, and the session is closed.")
 )
 
 // Events of the control role and of the processes that receive the configuration from it: 1200 to
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"gopkg.in/ini.v1"
 
+	"pollenpaddle/internal/connection/subset"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/request/dispatch"
@@ -89,6 +90,7 @@
 	MilliProcessors int64
 	MemoryBytes     int64
 	Accelerators    int64
+	EntrySessions   int // entries with which the agent keeps sessions
 }
 
 // Control is the section [control].
@@ -270,6 +272,7 @@
 	a.MilliProcessors = r.integer("agent", "milli_processors", 0, 0, 1<<30)
 	a.MemoryBytes = r.integer("agent", "memory_bytes", 0, 0, 1<<50)
 	a.Accelerators = r.integer("agent", "accelerators", 0, 0, 1<<16)
+	a.EntrySessions = int(r.integer("agent", "entry_sessions", subset.DefaultSize, 2, 1024))
 }
 
 func (r *reader) raw(section, key, fallback string) string {
--- a/internal/request/runner/events.go
+++ b/internal/request/runner/events.go
@@ -30,6 +30,11 @@
 // Disconnected reports the end of the session with an entry.
 type Disconnected struct{ Entry EntryID }
 
+// Retired reports that the session with an entry is to be closed, because the agent keeps sessions with other
+// entries instead. The entry gets no state in which the worker accepts starts; its orders and runs continue
+// until Machine.Retirable returns true.
+type Retired struct{ Entry EntryID }
+
 // Received reports a message from an entry.
 type Received struct {
 	Entry   EntryID
@@ -141,6 +146,7 @@
 
 func (Connected) runnerEvent()       {}
 func (Disconnected) runnerEvent()    {}
+func (Retired) runnerEvent()         {}
 func (Received) runnerEvent()        {}
 func (WorkerAnnounced) runnerEvent() {}
 func (WorkerLeft) runnerEvent()      {}
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -68,8 +68,20 @@
 	silentAfter = 600 * time.Millisecond
 	// stopBackoff is the backoff after a stop that was refused or not sent.
 	stopBackoff = 50 * time.Millisecond
-	// stateInterval is the minimum time between two reports of the worker's state to one entry.
-	stateInterval = 15 * time.Millisecond
+	// stateInterval is the minimum time between two reports of the worker's state to one active entry, and
+	// stateIntervalPerOwner the part of it for each active entry if that is longer: the reports of an agent
+	// do not grow with the number of entries.
+	stateInterval         = 15 * time.Millisecond
+	stateIntervalPerOwner = 3 * time.Millisecond
+	// idleStateInterval is the minimum time between two reports to an entry that is not active. Its first
+	// orders are placed by a state of that age.
+	idleStateInterval = PollInterval
+	// ownerActivePeriod is how long an entry counts as active after an order. At half of the usual load an
+	// entry with callers sends an order to each of its agents about once a second.
+	ownerActivePeriod = 2 * time.Second
+	// retirementDelay is the time between the report that closes a worker for an entry and the end of the
+	// session, in which orders of the entry that crossed the report arrive.
+	retirementDelay = time.Second
 	// SuspectFailures is the number of consecutive jobs with a failed run from which the worker gets only
 	// one trial run at a time. About 0.2% of jobs fail because of the job itself, so three in
 	// a row point to the worker.
@@ -158,6 +170,8 @@
 		m.connect(now, e.Entry)
 	case Disconnected:
 		m.disconnect(e.Entry)
+	case Retired:
+		m.retire(now, e.Entry)
 	case Received:
 		m.receive(now, e)
 	case WorkerAnnounced:
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -21,6 +21,9 @@
 	sentState     wire.WorkerState // as last sent on this session
 	stateSent     bool             // sentState is set
 	nextStateAt   time.Duration    // earliest time of the next state, unless ends are sent
+	activeUntil   time.Duration    // ownerActivePeriod after the last order
+	retired       bool             // the session is to be closed
+	retiredAt     time.Duration
 }
 
 func (m *Machine) connect(now time.Duration, id EntryID) {
@@ -35,7 +38,7 @@
 		m.owners[id] = o
 		m.ownerList = append(m.ownerList, o)
 	}
-	o.connected, o.inventorySent, o.stateSent, o.lastOrder, o.pendingEnds = true, false, false, 0, nil
+	o.connected, o.inventorySent, o.stateSent, o.lastOrder, o.pendingEnds, o.retired = true, false, false, 0, nil, false
 	o.expiresAt = max(o.expiresAt, now+OwnerTimeout)
 	o.nextPollAt, o.nextStateAt = now, now
 	m.expireOwners(now)
@@ -47,6 +50,22 @@
 	}
 }
 
+func (m *Machine) retire(now time.Duration, id EntryID) {
+	if o := m.owners[id]; o != nil && o.connected {
+		o.retired, o.retiredAt = true, now
+	}
+}
+
+// Retirable reports whether the session with a retired entry can be closed: the entry sends no more
+// orders, and none of its runs is left.
+func (m *Machine) Retirable(now time.Duration, id EntryID) bool {
+	o := m.owners[id]
+	if o == nil || !o.connected {
+		return true
+	}
+	return o.retired && now >= o.retiredAt+retirementDelay && len(o.pendingEnds) == 0 && !m.hasRuns(id)
+}
+
 // endOwnership makes the owner expire, so that its runs are stopped.
 func (m *Machine) endOwnership(o *owner) {
 	o.connected, o.expiresAt = false, 0
@@ -121,6 +140,8 @@
 // handleOrder queues or refuses the runs of an order. Those that have a record already are ignored.
 func (m *Machine) handleOrder(now time.Duration, o *owner, order *wire.RunOrder) {
 	o.lastOrder = order.Sequence
+	o.activeUntil = now + ownerActivePeriod
+	o.nextStateAt = min(o.nextStateAt, now+m.stateInterval(now, o))
 	for _, t := range order.Tasks {
 		id := order.ID(t)
 		if m.records[id] != nil {
@@ -224,10 +245,24 @@
 	if !immediate && o.stateSent && o.sentState.Open == state.Open && now < o.nextStateAt {
 		return
 	}
-	o.sentState, o.stateSent, o.nextStateAt = state, true, now+stateInterval
+	o.sentState, o.stateSent, o.nextStateAt = state, true, now+m.stateInterval(now, o)
 	m.send(o.id, &state)
 }
 
+// stateInterval returns the minimum time between two reports to an entry.
+func (m *Machine) stateInterval(now time.Duration, o *owner) time.Duration {
+	if now >= o.activeUntil {
+		return idleStateInterval
+	}
+	active := 0
+	for _, other := range m.ownerList {
+		if other.connected && now < other.activeUntil {
+			active++
+		}
+	}
+	return max(stateInterval, time.Duration(active)*stateIntervalPerOwner)
+}
+
 func sameState(a, b *wire.WorkerState) bool {
 	return a.Service == b.Service && a.Rack == b.Rack && a.Capacity == b.Capacity && a.Free == b.Free &&
 		slices.Equal(a.Waiting, b.Waiting) &&
--- /dev/null
+++ b/internal/request/runner/owners_test.go
@@ -0,0 +1,202 @@
+package runner_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/model/job"
+	"pollenpaddle/internal/model/run"
+	"pollenpaddle/internal/request/runner"
+	"pollenpaddle/internal/testutil/simworker"
+)
+
+// fleet drives one agent with an immediate worker and many entries, and counts what each entry receives.
+type fleet struct {
+	now     time.Duration
+	machine *runner.Machine
+	worker  *simworker.Worker
+	entries []runner.EntryID
+	states  map[runner.EntryID][]wire.WorkerState
+	ends    map[runner.EntryID]int
+	orders  map[runner.EntryID]uint64
+	poll    runner.Renew // the pending long poll
+	polling bool
+}
+
+func newFleet(entries int, runTime time.Duration) *fleet {
+	f := &fleet{
+		now: time.Hour, machine: runner.New(runner.Config{Token: 1}), worker: simworker.New("w", 1), states: map[runner.EntryID][]wire.WorkerState{},
+		ends: map[runner.EntryID]int{}, orders: map[runner.EntryID]uint64{},
+	}
+	f.worker.OnStart = func(run.ID) {}
+	f.worker.Plan = func(runner.Start) (time.Duration, run.Outcome) { return runTime, run.Done }
+	f.step(runner.WorkerAnnounced{Worker: f.worker.ID, Sequence: 1, Service: "s", Capacity: job.Resources{MilliProcessors: 64000}})
+	for k := range entries {
+		id := runner.EntryID{ID: fmt.Sprintf("entry-%02d", k), Incarnation: 1}
+		f.entries = append(f.entries, id)
+		f.step(runner.Connected{Entry: id})
+	}
+	f.advance(time.Second)
+	return f
+}
+
+// step passes an event to the machine. Responses follow after all actions of the step.
+func (f *fleet) step(event runner.Event) {
+	var responses []func()
+	for _, action := range f.machine.Step(f.now, event) {
+		switch a := action.(type) {
+		case runner.Send:
+			if poll, ok := a.Message.(*wire.OwnerPoll); ok {
+				responses = append(responses, func() { f.step(runner.Received{Entry: a.Entry, Message: &wire.OwnerGrant{Sent: poll.Sent}}) })
+			}
+			f.received(a)
+		case runner.Start:
+			responses = append(responses, func() {
+				f.step(runner.StartReturned{Worker: a.Worker, Run: a.Run, Token: a.Token, Result: f.worker.Start(f.now, a)})
+			})
+		case runner.Stop:
+			responses = append(responses, func() {
+				f.step(runner.StopReturned{Worker: a.Worker, Run: a.Run, Token: a.Token, Result: f.worker.Stop(a)})
+			})
+		case runner.Renew:
+			if a.Wait > 0 {
+				f.poll, f.polling = a, true
+			} else {
+				responses = append(responses, func() { f.renew(a) })
+			}
+		}
+	}
+	for _, respond := range responses {
+		respond()
+	}
+}
+
+func (f *fleet) received(send runner.Send) {
+	switch m := send.Message.(type) {
+	case *wire.WorkerState:
+		f.states[send.Entry] = append(f.states[send.Entry], *m)
+	case *wire.RunEnds:
+		f.ends[send.Entry] += len(m.Ends)
+	}
+}
+
+func (f *fleet) renew(r runner.Renew) {
+	result, report := f.worker.Renew(f.now, r)
+	f.step(runner.Renewed{Worker: r.Worker, Sent: f.now, OutOfBand: r.OutOfBand, Token: r.Token, Result: result, Report: report})
+}
+
+func (f *fleet) advance(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += time.Millisecond
+		if ended := f.worker.Advance(f.now); f.polling && (ended || int(f.now/time.Millisecond)%300 == 0) {
+			f.polling = false
+			f.renew(f.poll)
+		}
+		f.step(runner.Tick{})
+	}
+}
+
+// order sends one order of one task from an entry.
+func (f *fleet) order(from runner.EntryID, jobID string) {
+	f.orders[from]++
+	f.step(runner.Received{Entry: from, Message: &wire.RunOrder{
+		Sequence: f.orders[from], Job: jobID, Service: "s", MaxWait: time.Second,
+		Need: job.Resources{MilliProcessors: 1000}, Tasks: []wire.OrderedTask{{Number: 1}},
+	}})
+}
+
+// load lets the first active entries send one order each in turn, one every interval.
+func (f *fleet) load(d, interval time.Duration, active int) {
+	for n := 0; d > 0; n++ {
+		f.order(f.entries[n%active], fmt.Sprintf("%016x", int(f.now)+n))
+		f.advance(interval)
+		d -= interval
+	}
+}
+
+func (f *fleet) countStates() (n int) {
+	for _, states := range f.states {
+		n += len(states)
+	}
+	return n
+}
+
+var _ = ginkgo.Describe("the reports to entries", func() {
+	// Guards against reports of the worker's state that grow with the number of entries: each change used to
+	// be sent to every entry.
+	ginkgo.It("does not send more states in all to many active entries than to a few", func() {
+		count := func(entries int) int {
+			f := newFleet(entries, 50*time.Millisecond)
+			before := f.countStates()
+			f.load(10*time.Second, 5*time.Millisecond, entries)
+			return f.countStates() - before
+		}
+		few, many := count(5), count(50)
+		fmt.Fprintf(ginkgo.GinkgoWriter, "states with 5 entries %d, with 50 %d\n", few, many)
+		// Ends are sent with the state, 2,000 in both cases. Further reports must not grow with the entries.
+		gomega.Expect(many).To(gomega.BeNumerically("<", 2*few))
+	})
+
+	// Guards against an entry that is charged for the load of others: entries without callers need the state
+	// of workers only for their first job.
+	ginkgo.It("sends few states to entries without orders, and more once they send orders", func() {
+		f := newFleet(10, 50*time.Millisecond)
+		idle := f.entries[9]
+		f.load(5*time.Second, 5*time.Millisecond, 5)
+		gomega.Expect(len(f.states[idle])).To(gomega.BeNumerically("<=", 5*4+3))
+		gomega.Expect(len(f.states[f.entries[0]])).To(gomega.BeNumerically(">", 100))
+		f.order(idle, "00000000000000ff")
+		before := len(f.states[idle])
+		f.advance(100 * time.Millisecond)
+		gomega.Expect(len(f.states[idle])).To(gomega.BeNumerically(">", before))
+	})
+})
+
+var _ = ginkgo.Describe("a retired entry", func() {
+	// Guards against a session that is closed while runs of its entry are active: the entry would count them as lost
+	// and run them again only after the loss timeout.
+	ginkgo.It("gets no further orders in, but its runs finish before the session may be closed", func() {
+		f := newFleet(2, 3*time.Second)
+		entry := f.entries[0]
+		f.order(entry, "0000000000000001")
+		f.advance(100 * time.Millisecond)
+		f.step(runner.Retired{Entry: entry})
+		f.advance(100 * time.Millisecond)
+		states := f.states[entry]
+		gomega.Expect(states[len(states)-1].Open).To(gomega.BeFalse())
+		other := f.states[f.entries[1]]
+		gomega.Expect(other[len(other)-1].Open).To(gomega.BeTrue())
+		f.order(entry, "0000000000000002") // crossed the report
+		f.advance(2 * time.Second)
+		gomega.Expect(f.machine.Retirable(f.now, runner.EntryID(entry))).To(gomega.BeFalse())
+		f.advance(2 * time.Second)
+		gomega.Expect(f.ends[entry]).To(gomega.Equal(2))
+		gomega.Expect(f.machine.Retirable(f.now, entry)).To(gomega.BeTrue())
+		gomega.Expect(f.machine.Retirable(f.now, f.entries[1])).To(gomega.BeFalse())
+	})
+
+	// Guards against a session that is closed while an order of the entry is on its way.
+	ginkgo.It("keeps its session for the time in which orders may arrive", func() {
+		f := newFleet(1, time.Second)
+		f.step(runner.Retired{Entry: f.entries[0]})
+		gomega.Expect(f.machine.Retirable(f.now, f.entries[0])).To(gomega.BeFalse())
+		f.advance(1100 * time.Millisecond)
+		gomega.Expect(f.machine.Retirable(f.now, f.entries[0])).To(gomega.BeTrue())
+	})
+
+	// Guards against an entry that stays without the worker after it is chosen again.
+	ginkgo.It("gets orders in again after a new session", func() {
+		f := newFleet(1, time.Second)
+		f.step(runner.Retired{Entry: f.entries[0]})
+		f.advance(100 * time.Millisecond)
+		f.step(runner.Disconnected{Entry: f.entries[0]})
+		f.step(runner.Connected{Entry: f.entries[0]})
+		f.advance(100 * time.Millisecond)
+		states := f.states[f.entries[0]]
+		gomega.Expect(states[len(states)-1].Open).To(gomega.BeTrue())
+	})
+})
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -141,7 +141,7 @@
 	w := &m.worker
 	state := wire.WorkerState{
 		Service: w.service, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: job.Difference(w.capacity, m.used),
-		Open: m.acceptsStarts(now), Failures: w.failures, Orders: o.lastOrder,
+		Open: m.acceptsStarts(now) && !o.retired, Failures: w.failures, Orders: o.lastOrder,
 	}
 	for _, r := range m.queue {
 		last := len(state.Waiting) - 1
--- a/internal/request/startgate/entries.go
+++ b/internal/request/startgate/entries.go
@@ -11,6 +11,7 @@
 type entry struct {
 	id         EntryID
 	connected  bool
+	retired    bool          // the session is to be closed
 	lastDirect time.Duration // arrival of its last direct start
 
 	demand      int // reported queued tasks for which no offer has been made yet
@@ -79,6 +80,35 @@
 	}
 }
 
+// retire withdraws the upstream from one entry.
+func (m *Machine) retire(id EntryID) {
+	e := m.byID[id]
+	if e == nil || e.retired {
+		return
+	}
+	e.retired, e.credits = true, false
+	m.dropOffersAndRequests(e)
+	m.send(e, &wire.Withdraw{})
+}
+
+// Retirable reports whether the session with a retired entry can be closed: the agent holds neither a start
+// of the entry without an outcome nor a result that the entry has not acknowledged.
+func (m *Machine) Retirable(id EntryID) bool {
+	e := m.byID[id]
+	if e == nil {
+		return true
+	}
+	if !e.retired {
+		return false
+	}
+	for _, r := range m.records {
+		if r.owner == id && r.phase <= phaseFinished {
+			return false
+		}
+	}
+	return true
+}
+
 // dropOffersAndRequests drops the offers, probes and demand of an entry.
 func (m *Machine) dropOffersAndRequests(e *entry) {
 	m.dropOffers(e)
--- a/internal/request/startgate/events.go
+++ b/internal/request/startgate/events.go
@@ -22,6 +22,10 @@
 // Disconnected reports the end of the session with an entry.
 type Disconnected struct{ Entry EntryID }
 
+// Retired reports that the session with an entry is to be closed. The upstream is withdrawn from the entry;
+// its starts continue until Machine.Retirable returns true.
+type Retired struct{ Entry EntryID }
+
 // Received is a message from an entry.
 type Received struct {
 	Entry   EntryID
@@ -64,6 +68,7 @@
 
 func (Connected) startgateEvent()    {}
 func (Disconnected) startgateEvent() {}
+func (Retired) startgateEvent()      {}
 func (Received) startgateEvent()     {}
 func (Announced) startgateEvent()    {}
 func (Withdrawn) startgateEvent()    {}
--- a/internal/request/startgate/startgate.go
+++ b/internal/request/startgate/startgate.go
@@ -155,6 +155,8 @@
 		m.connect(now, e.Entry)
 	case Disconnected:
 		m.disconnect(now, e.Entry)
+	case Retired:
+		m.retire(e.Entry)
 	case Received:
 		m.receive(now, e)
 	case Announced:
@@ -218,12 +220,15 @@
 			m.query(now, from, id)
 		}
 	case *wire.Reserve:
-		m.addProbes(from, message.Count)
+		if !from.retired {
+			m.addProbes(from, message.Count)
+		}
 	case *wire.Unreserve:
 		m.withdrawProbes(from, message.Count)
 	case *wire.Demand:
-		from.demand = max(0, message.Queued)
-		from.credits = true
+		if !from.retired {
+			from.demand, from.credits = max(0, message.Queued), true
+		}
 	case *wire.Decline:
 		m.decline(now, from, message)
 	case *wire.Closing:
@@ -244,7 +249,7 @@
 
 // announceTo sends the announcement to one entry, with the remaining TTL.
 func (m *Machine) announceTo(now time.Duration, to *entry) {
-	if !m.announced || now >= m.announceEnd {
+	if !m.announced || now >= m.announceEnd || to.retired {
 		return
 	}
 	announce := m.announce
