Share the capacities of workers between entries

Cause: since an agent keeps sessions with some entries only, an entry that knows no agent of a large worker failed a job that only this worker fits as one that fits no worker. The smaller the share of such workers, the more entries did so.

The message is optional: entries announce with Pong, which earlier releases ignore, that they understand it.

--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -72,6 +72,7 @@
 	abortOnce      sync.Once
 	disconnected   chan struct{} // closed when both loops have ended and the connection is closed
 	handlerDone    chan struct{} // closed when SessionClosed has returned
+	features       atomic.Uint64 // wire.Feature of the peer; zero until its Pong arrives
 	bytesReceived  atomic.Uint64
 	bytesSent      atomic.Uint64
 	frame          wire.Frame   // used by the write loop only
@@ -81,6 +82,11 @@
 // Peer returns the authenticated identity of the peer.
 func (s *Session) Peer() Identity { return s.peer }
 
+// Supports reports whether the peer is known to understand the optional messages.
+func (s *Session) Supports(features wire.Feature) bool {
+	return wire.Feature(s.features.Load())&features == features
+}
+
 // DialedAddress returns the address that this process dialed, or "" for an accepted session.
 func (s *Session) DialedAddress() string { return s.dialedAddress }
 
@@ -255,7 +261,7 @@
 			s.sendCloseReason(err)
 			return err
 		}
-		if messages = removeHeartbeats(messages); len(messages) > 0 {
+		if messages = s.handleHeartbeats(messages); len(messages) > 0 {
 			handler.MessagesReceived(s, messages)
 		}
 	}
@@ -290,12 +296,15 @@
 	}
 }
 
-// removeHeartbeats removes heartbeats. They have no effect beyond extending the read deadline.
-func removeHeartbeats(messages []wire.Message) []wire.Message {
+// handleHeartbeats removes heartbeats, which only extend the read deadline, and the announcement of the
+// peer's optional messages.
+func (s *Session) handleHeartbeats(messages []wire.Message) []wire.Message {
 	kept := messages[:0]
 	for _, message := range messages {
-		switch message.(type) {
-		case *wire.Ping, *wire.Pong:
+		switch m := message.(type) {
+		case *wire.Ping:
+		case *wire.Pong:
+			s.features.Store(uint64(m.Features))
 		default:
 			kept = append(kept, message)
 		}
--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -48,12 +48,20 @@
 	Sent time.Duration // reserved; always zero
 }
 
-// Pong is reserved for a reply to Ping with the same Sent. It is ignored and never sent.
+// Pong names the optional messages that the sender understands; any other message of a type that the receiver
+// does not know ends the session. Entries send it to each other first. Releases without optional messages ignore
+// it.
 type Pong struct {
-	_    struct{} `cbor:",toarray"`
-	Sent time.Duration
+	_        struct{} `cbor:",toarray"`
+	Features Feature
 }
 
+// Feature is a set of optional messages.
+type Feature uint64
+
+// FeatureCapacities means that the sender understands Capacities.
+const FeatureCapacities Feature = 1 << 0
+
 // Closing reports that the sender is draining and accepts no new work. It does not close the
 // session.
 type Closing struct {
--- a/internal/connection/wire/run.go
+++ b/internal/connection/wire/run.go
@@ -17,6 +17,7 @@
 	TypeOwnerPoll    Type = 75
 	TypeOwnerGrant   Type = 76
 	TypeJobCancel    Type = 77
+	TypeCapacities   Type = 78
 )
 
 // RunOrder asks an agent to run tasks of one restartable job; to order a run is to request it in
@@ -106,6 +107,21 @@
 	Job string
 }
 
+// Capacities tells another entry the greatest capacities of the workers with whose agents the sender has a
+// session: each agent keeps sessions with some entries only. It replaces the sender's earlier message and is
+// sent only to entries with FeatureCapacities.
+type Capacities struct {
+	_        struct{}            `cbor:",toarray"`
+	Services []ServiceCapacities // sorted by service
+}
+
+// ServiceCapacities lists the capacities of workers of one service. A capacity that another one covers is left out.
+type ServiceCapacities struct {
+	_          struct{} `cbor:",toarray"`
+	Service    string
+	Capacities []job.Resources
+}
+
 // MessageType implements Message.
 func (*RunOrder) MessageType() Type     { return TypeRunOrder }
 func (*RunCancel) MessageType() Type    { return TypeRunCancel }
@@ -115,6 +131,7 @@
 func (*OwnerPoll) MessageType() Type    { return TypeOwnerPoll }
 func (*OwnerGrant) MessageType() Type   { return TypeOwnerGrant }
 func (*JobCancel) MessageType() Type    { return TypeJobCancel }
+func (*Capacities) MessageType() Type   { return TypeCapacities }
 
 var _ = register(map[Type]func() Message{
 	TypeRunOrder:     func() Message { return new(RunOrder) },
@@ -125,4 +142,5 @@
 	TypeOwnerPoll:    func() Message { return new(OwnerPoll) },
 	TypeOwnerGrant:   func() Message { return new(OwnerGrant) },
 	TypeJobCancel:    func() Message { return new(JobCancel) },
+	TypeCapacities:   func() Message { return new(Capacities) },
 })
--- a/internal/process/control/directory.go
+++ b/internal/process/control/directory.go
@@ -167,7 +167,9 @@
 		d.proposeRemoval(known)
 	case c.draining || found && known == wanted:
 	case found && known.Incarnation != peer.Incarnation && d.connected(entryKey{known.ID, known.Incarnation}):
-		if !c.duplicateLogged {
+		// Two processes cannot listen at one address: an entry that lost power is back, and its old session
+		// has not timed out yet.
+		if !c.duplicateLogged && known.Address != peer.Address {
 			c.duplicateLogged = true
 			logging.Log(d.server.config.Logger, logging.DuplicateEntryID, zap.String("entry", peer.ID), zap.String("address", peer.Address), zap.String("known_address", known.Address))
 		}
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,8 +17,13 @@
 	"pollenpaddle/internal/version/catalog"
 )
 
-// redialBackoff is the backoff before an entry is dialed again.
-const redialBackoff = 200 * time.Millisecond
+const (
+	// redialBackoff is the backoff before an entry is dialed again.
+	redialBackoff = 200 * time.Millisecond
+	// dialSpacing is the time between the first dials of two entries. While many processes start at once, an
+	// entry on a small VM needs its processor time for the sessions of its agents first.
+	dialSpacing = 20 * time.Millisecond
+)
 
 // dialer is the handle of a goroutine that keeps a session with another entry open.
 type dialer struct {
@@ -44,6 +51,7 @@
 	case wire.RoleEntry:
 		logging.Log(e.config.Logger, logging.EntryPeerConnected, zap.String("entry", s.Peer().ID), zap.Uint64("incarnation", s.Peer().Incarnation))
 		e.peers[peerOf(s)] = s
+		s.Send(&wire.Pong{Features: wire.FeatureCapacities})
 		e.peerConnected(peerOf(s))
 	}
 }
@@ -57,9 +65,11 @@
 			e.stepScheduler(scheduler.AgentDisconnected{Agent: scheduler.AgentID(agentOf(s))})
 		}
 	case wire.RoleEntry:
+		delete(e.restartable.capacitiesSent, s)
 		if e.peers[peerOf(s)] == s {
 			logging.Log(e.config.Logger, logging.EntryPeerLost, zap.String("entry", s.Peer().ID), zap.Error(err))
 			delete(e.peers, peerOf(s))
+			e.stepScheduler(scheduler.PeerDisconnected{Entry: peerOf(s)})
 			e.peerDisconnected(peerOf(s))
 		}
 	}
@@ -96,6 +106,8 @@
 			e.queryReplied(from, m)
 		case *wire.JobCancel:
 			e.stepScheduler(scheduler.Cancelled{Job: m.Job})
+		case *wire.Capacities:
+			e.stepScheduler(scheduler.PeerCapacities{Entry: from, Report: m})
 		case *wire.UsageReport:
 			e.step(dispatch.PeerUsage{Entry: from.EntryID, Report: m})
 		}
@@ -118,25 +130,32 @@
 			delete(e.dialers, id)
 		}
 	}
-	for id, address := range wanted {
+	delay := time.Duration(0)
+	for _, id := range slices.Sorted(maps.Keys(wanted)) {
 		if _, dialed := e.dialers[id]; dialed {
 			continue
 		}
+		address := wanted[id]
 		ctx, stop := context.WithCancel(e.groupCtx)
 		e.dialers[id] = dialer{address: address, stop: stop}
+		first := delay
+		delay += dialSpacing
 		e.group.Go(func() error {
-			e.keepDialing(ctx, address)
+			e.keepDialing(ctx, address, first)
 			return nil
 		})
 	}
 }
 
-func (e *Entry) keepDialing(ctx context.Context, address string) {
-	for ctx.Err() == nil {
-		_ = e.connector.Dial(e.sessionCtx, address, wire.RoleEntry)
+// keepDialing keeps a session with the entry at address open. It dials it for the first time after the delay.
+func (e *Entry) keepDialing(ctx context.Context, address string, delay time.Duration) {
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialBackoff):
+			return
+		case <-time.After(delay):
 		}
+		_ = e.connector.Dial(e.sessionCtx, address, wire.RoleEntry)
+		delay = redialBackoff
 	}
 }
--- a/internal/process/entry/restartable.go
+++ b/internal/process/entry/restartable.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -65,12 +66,15 @@
 	schedulerEvents []scheduler.Event
 	scheduling      bool // stepScheduler is executing actions
 	loggedReady     bool // readiness that was last logged
+	capacities      *wire.Capacities
+	capacitiesSent  map[*session.Session]*wire.Capacities // the report that each peer has last got
 }
 
 func newRestartableJobs(identity session.Identity) restartableJobs {
 	return restartableJobs{
 		scheduler: scheduler.New(scheduler.Config{Seed: identity.Incarnation, AvailabilityZone: identity.AvailabilityZone}),
 		callers:   map[string][]chan<- scheduler.Decided{}, verdicts: map[string]keptVerdict{},
+		capacities: &wire.Capacities{}, capacitiesSent: map[*session.Session]*wire.Capacities{},
 	}
 }
 
@@ -308,11 +312,27 @@
 				delete(j.verdicts, id)
 			}
 		}
+		e.shareCapacities()
 	}
 	e.status.availableAgents.Store(int64(j.scheduler.AvailableAgents(now)))
 	e.logReadiness()
 }
 
+// shareCapacities sends the capacities that the scheduler knows from its agents to each entry that has not got
+// them yet.
+func (e *Entry) shareCapacities() {
+	j := &e.restartable
+	if current := j.scheduler.Capacities(); !reflect.DeepEqual(current, j.capacities) {
+		j.capacities = current
+	}
+	for _, s := range e.peers {
+		if j.capacitiesSent[s] != j.capacities && s.Supports(wire.FeatureCapacities) {
+			j.capacitiesSent[s] = j.capacities
+			s.Send(j.capacities)
+		}
+	}
+}
+
 // receiveRunMessage passes a message about runs to the scheduler. It returns false for other messages.
 func (e *Entry) receiveRunMessage(from scheduler.AgentID, message wire.Message) bool {
 	switch message.(type) {
--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -28,9 +28,6 @@
 	// lossTimeout is how long after the end of a session this entry's runs at the agent may still be
 	// executing: the agent stops them after the owner timeout, and if the agent is gone, their lease expires.
 	lossTimeout = runner.OwnerTimeout + runner.DefaultLeaseTerm + 200*time.Millisecond
-	// capacityRetention is how long the capacity of a worker counts after its agent has disconnected or has
-	// reported another one, when deciding whether a task fits any worker.
-	capacityRetention = time.Minute
 	// startupGrace is how long a newly started process accepts jobs without a known worker: agents
 	// connect within a few hundred milliseconds.
 	startupGrace = 1500 * time.Millisecond
@@ -154,8 +151,12 @@
 
 // expireAgents gives the outcome run.Lost to the runs of agents whose lossDeadline has passed.
 func (m *Machine) expireAgents(now time.Duration) {
+	due := func(a *agent) bool { return a.lossDeadline != 0 && now >= a.lossDeadline }
+	if !slices.ContainsFunc(m.sortedAgents, due) {
+		return
+	}
 	for _, a := range slices.Clone(m.sortedAgents) {
-		if a.lossDeadline == 0 || now < a.lossDeadline {
+		if !due(a) {
 			continue
 		}
 		a.lossDeadline = 0
@@ -256,79 +257,6 @@
 // runs returns the number of active and planned runs.
 func (a *agent) runs() int { return len(a.tasks) + a.plannedRuns }
 
-// serviceWorkers holds what is remembered of the workers of one service, beside the states of the
-// connected agents.
-type serviceWorkers struct {
-	capacities  []recordedCapacity
-	lastOpenAt  time.Duration // when an agent, since disconnected or closed, was last known to accept starts
-	everOpen    bool
-	firstOpenAt time.Duration // when the first state arrived in which a worker accepts starts
-}
-
-type recordedCapacity struct {
-	capacity job.Resources
-	at       time.Duration
-}
-
-func (m *Machine) workersOf(service string) *serviceWorkers {
-	s := m.workersByService[service]
-	if s == nil {
-		s = &serviceWorkers{}
-		m.workersByService[service] = s
-	}
-	return s
-}
-
-func (s *serviceWorkers) recordCapacity(now time.Duration, capacity job.Resources, open bool) {
-	if open && !s.everOpen {
-		s.firstOpenAt = now
-	}
-	if open {
-		s.lastOpenAt, s.everOpen = max(s.lastOpenAt, now), true
-	}
-	for i := range s.capacities {
-		if s.capacities[i].capacity == capacity {
-			s.capacities[i].at = max(s.capacities[i].at, now)
-			return
-		}
-	}
-	s.capacities = slices.DeleteFunc(s.capacities, func(k recordedCapacity) bool { return now-k.at > capacityRetention })
-	s.capacities = append(s.capacities, recordedCapacity{capacity: capacity, at: now})
-}
-
-// rememberState records what the agent's last state said before it is replaced or no longer holds. Agents
-// send the state of their workers only on change, so until then it counts as current while messages arrive.
-func (m *Machine) rememberState(a *agent) {
-	if a.state.Service == "" {
-		return
-	}
-	m.workersOf(a.state.Service).recordCapacity(a.heardAt, a.state.Capacity, a.state.Open)
-}
-
-// neverFits reports whether a task of the job exceeds every known capacity of its service: those of the
-// workers of connected agents, and those of other workers that were known within capacityRetention. It is
-// false while no capacity is known.
-func (m *Machine) neverFits(now time.Duration, j *jobState) bool {
-	var known []job.Resources
-	for _, k := range m.workersOf(j.submission.Service).capacities {
-		if now-k.at <= capacityRetention {
-			known = append(known, k.capacity)
-		}
-	}
-	for _, a := range m.sortedAgents {
-		if a.connected && a.state.Service == j.submission.Service && !slices.Contains(known, a.state.Capacity) {
-			known = append(known, a.state.Capacity)
-		}
-	}
-	for _, step := range j.submission.Steps {
-		fits := func(capacity job.Resources) bool { return capacity.Covers(step.Need) }
-		if len(known) > 0 && !slices.ContainsFunc(known, fits) {
-			return true
-		}
-	}
-	return false
-}
-
 // serviceAvailable reports whether an agent of the service may get another run, whether a worker of it
 // was known within serviceAbsenceGrace to accept starts, or whether agents are still connecting.
 func (m *Machine) serviceAvailable(now time.Duration, service string) bool {
--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -58,6 +58,15 @@
 	Message wire.Message
 }
 
+// PeerCapacities reports the capacities that another entry knows. It replaces the earlier report of the entry.
+type PeerCapacities struct {
+	Entry  wire.Claimant
+	Report *wire.Capacities
+}
+
+// PeerDisconnected reports the end of the session with another entry.
+type PeerDisconnected struct{ Entry wire.Claimant }
+
 // ZonesChanged reports the availability zones that are out of service.
 type ZonesChanged struct{ OutOfService []string }
 
@@ -74,6 +83,8 @@
 func (AgentConnected) schedulerEvent()    {}
 func (AgentDisconnected) schedulerEvent() {}
 func (AgentMessage) schedulerEvent()      {}
+func (PeerCapacities) schedulerEvent()    {}
+func (PeerDisconnected) schedulerEvent()  {}
 func (ZonesChanged) schedulerEvent()      {}
 func (Submitted) schedulerEvent()         {}
 func (Cancelled) schedulerEvent()         {}
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -44,6 +44,7 @@
 	zonesOutOfService map[string]bool
 	queues            map[string]*queueStats
 	workersByService  map[string]*serviceWorkers
+	peerCapacities    map[wire.Claimant]*wire.Capacities
 	meanRunTime       time.Duration // moving average over all queues; zero before the first run
 	arrival           uint64
 	nextCheckAt       time.Duration // when checkJobs is next due; zero if never
@@ -64,6 +65,7 @@
 	return &Machine{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), jobs: map[string]*jobState{}, agents: map[string]*agent{},
 		zonesOutOfService: map[string]bool{}, queues: map[string]*queueStats{}, workersByService: map[string]*serviceWorkers{},
+		peerCapacities: map[wire.Claimant]*wire.Capacities{},
 	}
 }
 
@@ -84,6 +86,11 @@
 		m.disconnect(now, e.Agent)
 	case AgentMessage:
 		m.receive(now, e)
+	case PeerCapacities:
+		m.recordPeer(now, e.Entry)
+		m.peerCapacities[e.Entry] = e.Report
+	case PeerDisconnected:
+		m.recordPeer(now, e.Entry)
 	case ZonesChanged:
 		m.setZonesOutOfService(e.OutOfService)
 	case Submitted:
