--- a/internal/request/runner/model_test.go
+++ b/internal/request/runner/model_test.go
@@ -280,15 +280,32 @@
 	s.step(runner.Connected{Entry: s.entries[i]})
 }
 
+// retire retires an entry. As in the agent, its session is closed once the machine allows it, at the latest
+// when the runs of the entry are over; then no run of the entry may be open.
+func (s *simulation) retire() {
+	i := rapid.IntRange(0, len(s.entries)-1).Draw(s.t, "entry")
+	s.step(runner.Retired{Entry: s.entries[i]})
+	s.advance(time.Duration(rapid.IntRange(0, 3000).Draw(s.t, "retiring")) * time.Millisecond)
+	if s.machine.Retirable(s.now, s.entries[i]) {
+		for id, owner := range s.openRuns {
+			if owner == s.entries[i] {
+				s.t.Fatalf("the session with %v may be closed while its run %v has no outcome", owner, id)
+			}
+		}
+	}
+	s.step(runner.Disconnected{Entry: s.entries[i]})
+	s.step(runner.Connected{Entry: s.entries[i]}) // chosen again
+}
+
 var _ = ginkgo.Describe("the runner with a faulty worker", func() {
 	// Guards against two simultaneous runs of one task, against outcomes that are reported while the run
 	// may still start or continue, and against runs without an outcome, under lost and late calls, worker
-	// and agent restarts, silent owners and cancellations.
+	// and agent restarts, silent owners, retired owners and cancellations.
 	ginkgo.It("starts at most one run of a task at a time and reports an outcome for every run", func() {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
 			s := newSimulation(t)
 			for range rapid.IntRange(5, 40).Draw(t, "events") {
-				switch rapid.IntRange(0, 11).Draw(t, "event") {
+				switch rapid.IntRange(0, 12).Draw(t, "event") {
 				case 0, 1, 2, 3:
 					s.order()
 				case 4:
@@ -310,6 +327,8 @@
 				case 9:
 					i := rapid.IntRange(0, 1).Draw(t, "entry")
 					s.repliesToPolls[i] = !s.repliesToPolls[i]
+				case 10:
+					s.retire()
 				default:
 					s.announce()
 				}
