End an agent's session with an entry whose host is off after 0.7 s

Cause: when an entry's host lost power, its agents noticed it by the first retransmission that reached the restarted host. Retransmissions double their interval (0.2, 0.6, 1.4 s after the data), so half of the 44 agents of an entry that was off for 0.63 s came back 0.8 s after it. Until then it had half of its workers and refused jobs.

Change: sessions that an agent dials set TCP_USER_TIMEOUT to 700 ms (AckTimeout). A process that is only slow is not affected, because its host acknowledges.

Test: "ends when the peer's host acknowledges nothing for the ack timeout" fails without the option (5.1 s).

--- a/internal/connection/session/handshake.go
+++ b/internal/connection/session/handshake.go
@@ -10,10 +10,13 @@
 	"encoding/binary"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
@@ -50,6 +53,10 @@
 	Handler    Handler
 	// ConnectTimeout bounds the establishment of a connection; zero means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
+	// AckTimeout ends a session that this connector dialed when the peer's host has not acknowledged sent data for
+	// this time, while a process that is only slow does not end it; zero leaves it to ReadTimeout and the retransmissions of the
+	// operating system, whose intervals double.
+	AckTimeout time.Duration
 	// OnRejected, if set, is called if the handshake of an accepted connection fails.
 	OnRejected func(remote string, err error)
 
@@ -138,7 +145,7 @@
 // either end closed the session.
 func (c *Connector) Dial(ctx context.Context, address string, role wire.Role) error {
 	dialer := websocket.Dialer{
-		NetDialContext:   (&net.Dialer{Timeout: cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)}).DialContext,
+		NetDialContext:   c.netDialer().DialContext,
 		HandshakeTimeout: handshakeTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes, WriteBufferPool: &writeBuffers,
 	}
 	conn, response, err := dialer.DialContext(ctx, "ws://"+address+Path(role), nil)
@@ -155,6 +162,20 @@
 	return s.run(ctx, c.Handler)
 }
 
+func (c *Connector) netDialer() *net.Dialer {
+	dialer := &net.Dialer{Timeout: cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)}
+	if c.AckTimeout > 0 {
+		dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			controlErr := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.AckTimeout.Milliseconds()))
+			})
+			return errors.CombineErrors(controlErr, err)
+		}
+	}
+	return dialer
+}
+
 func (c *Connector) acceptHandshake(conn *websocket.Conn) (*Session, error) {
 	conn.SetReadLimit(maxHandshakeBytes)
 	nonce := newNonce()
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -252,6 +252,27 @@
 		gomega.Eventually(func() int { _, n, _ := f.acceptEvents.counts(); return n }, 10*time.Second).Should(gomega.Equal(5))
 	})
 
+	// Guards against a session that outlives the host of its peer: the operating system repeats unacknowledged data
+	// at doubling intervals, so an agent noticed the restart of an entry's host up to 0.8 s after it was back. A peer
+	// that does not read stands in for a host that acknowledges nothing; without AckTimeout the session ends by its
+	// write timeout of 5 s.
+	ginkgo.It("ends when the peer's host acknowledges nothing for the ack timeout", func() {
+		f := newFixture()
+		blocked := make(chan struct{})
+		defer close(blocked)
+		f.acceptEvents.reply = func(*Session, []wire.Message) { <-blocked }
+		f.dialer.AckTimeout = 300 * time.Millisecond
+		dialed, _ := f.connect()
+		began := time.Now()
+		for range 8 {
+			message := &wire.Start{}
+			message.Task.Body = make([]byte, 7<<20)
+			dialed.Send(message)
+		}
+		gomega.Expect(f.dialEvents.firstCloseError()).To(gomega.HaveOccurred())
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 3*time.Second))
+	})
+
 	// Guards against unbounded memory use if a peer does not read.
 	ginkgo.It("ends when the peer does not read", func() {
 		f := newFixture()
--- a/internal/process/agent/entries.go
+++ b/internal/process/agent/entries.go
@@ -21,10 +21,18 @@
 
 const (
 	// minRedialBackoff and maxRedialBackoff bound the backoff before an entry is dialed again. A jitter of
-	// up to 50% in both directions is applied to it. The longest backoff leaves several attempts within
-	// the 5 s that entries allow for a reconnect.
+	// up to 50% in both directions is applied to it. The longest backoff bounds how long an entry whose host
+	// was off for some seconds serves its callers without the agent.
 	minRedialBackoff = 100 * time.Millisecond
-	maxRedialBackoff = time.Second
+	maxRedialBackoff = 300 * time.Millisecond
+	// minConnectTimeout bounds the first attempt to connect. The bound doubles with each attempt up to
+	// session.DefaultConnectTimeout. An entry whose host is off, or whose queue of new connections is full because
+	// many processes have just started, drops the first packet (SYN), which is retransmitted only after a second.
+	minConnectTimeout = 100 * time.Millisecond
+	// ackTimeout ends a session whose entry's host does not acknowledge data. It is below runner.OwnerTimeout,
+	// at which the entry's runs are stopped anyway, and covers two retransmissions (after 200 and 600 ms). The
+	// third one, after 1.4 s, would be the first to tell that the host is back.
+	ackTimeout = 700 * time.Millisecond
 )
 
 // dialerSet holds one dialer for each entry that package subset has chosen from the configuration.
@@ -124,17 +132,22 @@
 // is stopped or ctx is done.
 func (a *Agent) keepDialing(ctx context.Context, d *dialer, address string) error {
 	backoff := minRedialBackoff
+	connector := a.connector
+	connector.ConnectTimeout, connector.AckTimeout = minConnectTimeout, ackTimeout
 	failing := false
 	for {
-		err := a.connector.Dial(ctx, address, wire.RoleEntry)
+		err := connector.Dial(ctx, address, wire.RoleEntry)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if a.dialers.dialEnded(d) {
-			backoff, failing = minRedialBackoff, false
-		} else if !failing {
-			logging.Log(a.config.Logger, logging.EntryUnreachable, zap.String("address", address), zap.Error(err))
-			failing = true
+			backoff, failing, connector.ConnectTimeout = minRedialBackoff, false, minConnectTimeout
+		} else {
+			if !failing {
+				logging.Log(a.config.Logger, logging.EntryUnreachable, zap.String("address", address), zap.Error(err))
+				failing = true
+			}
+			connector.ConnectTimeout = min(2*connector.ConnectTimeout, session.DefaultConnectTimeout)
 		}
 		// Jitter spreads the reconnects of the agents that lost the same entry.
 		timer := time.NewTimer(backoff/2 + rand.N(backoff))
