Wait for the availability zone in a spec on the directory of entries

The entry and its availability zone are proposed at the same time and committed in either order; the spec read the revision when the entry was present and the zone still missing. A removal and a return of the entry, which it guards against, would have added two revisions and failed the check before.

Change: the spec waits for the zone before it reads the revision. The check itself is the same.

--- a/internal/process/control/control_test.go
+++ b/internal/process/control/control_test.go
@@ -168,6 +168,8 @@
 		leader := g.leader()
 		entry := startProcess(wire.RoleEntry, "entry-1", 5, g.members[0].address)
 		gomega.Eventually(present(leader, "entry-1", 5)).Should(gomega.BeTrue())
+		// The entry and its availability zone are added by two changes, in either order.
+		gomega.Eventually(func() int { return len(leader.server.State().AvailabilityZones) }).Should(gomega.Equal(1))
 		joined := leader.server.State().Revision
 		entry.stop()
 		entry = startProcess(wire.RoleEntry, "entry-1", 5, g.members[1].address)
