--- a/internal/connection/session/handshake.go
+++ b/internal/connection/session/handshake.go
@@ -53,9 +53,9 @@
 	Handler    Handler
 	// ConnectTimeout bounds the establishment of a connection; zero means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
-	// AckTimeout ends a session that this connector dialed when the peer's host has not acknowledged sent data for
-	// this time, while a process that is only slow does not end it; zero leaves it to ReadTimeout and the retransmissions of the
-	// operating system, whose intervals double.
+	// AckTimeout ends a session that this connector dialed when sent data stays unacknowledged, or unsent because the
+	// peer's receive window is full, for this time (TCP_USER_TIMEOUT). A slow process ends it only once its window is
+	// full. Zero leaves it to ReadTimeout and to the retransmissions of the operating system, whose intervals double.
 	AckTimeout time.Duration
 	// OnRejected, if set, is called if the handshake of an accepted connection fails.
 	OnRejected func(remote string, err error)
