Restart the timeouts of a session's frame as it makes progress

Cause: a read of one frame had 3 s and a write 5 s in total. A frame may have 16 MB, so on a loaded machine or a slow link the session ended with "i/o timeout" while its data was still arriving.

Ruled out: AckTimeout, which that spec does not set.

Change: the timeouts start again after each 64 KiB. Larger frames are sent in WebSocket fragments, which every release reads.

Test: two entries play a link of 1 MB/s and a frame of 7 MB in each direction; both failed before and pass now.

--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,8 +27,11 @@
 	PingInterval = time.Second
 	// ReadTimeout ends a session if nothing was received from the peer for this time.
 	ReadTimeout = 3 * time.Second
-	// writeTimeout bounds the write of one frame. It ends a session whose peer has stopped reading.
+	// writeTimeout ends a session whose peer has stopped reading: it bounds the write of progressBytes.
 	writeTimeout = 5 * time.Second
+	// progressBytes is the part of a frame after which its read and write timeouts start again. A timeout for a
+	// whole frame ended the session of a slow peer or link, although the frame was in transit.
+	progressBytes = 64 << 10
 	// closeTimeout bounds the wait for the peer's close frame after this end has sent its own.
 	closeTimeout = 2 * time.Second
 	// discardTimeout bounds the time for which data of a peer that sent an invalid frame is read and
@@ -223,10 +227,7 @@
 	if s.frame.Count() == 0 {
 		return nil
 	}
-	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if err := s.conn.WriteMessage(websocket.BinaryMessage, s.frame.Bytes()); err != nil {
+	if err := writeWithProgress(s.conn, s.frame.Bytes()); err != nil {
 		return errors.Wrap(err, "the peer does not read or the connection is lost")
 	}
 	s.bytesSent.Add(uint64(s.frame.Len()))
@@ -238,6 +239,29 @@
 	return nil
 }
 
+// writeWithProgress sends one WebSocket message. A message of more than progressBytes is sent in fragments.
+func writeWithProgress(conn *websocket.Conn, message []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if len(message) <= progressBytes {
+		return conn.WriteMessage(websocket.BinaryMessage, message)
+	}
+	writer, err := conn.NextWriter(websocket.BinaryMessage)
+	if err != nil {
+		return err
+	}
+	for part := range slices.Chunk(message, progressBytes) {
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := writer.Write(part); err != nil {
+			return err
+		}
+	}
+	return writer.Close()
+}
+
 func (s *Session) writeClose() error {
 	message := websocket.FormatCloseMessage(websocket.CloseGoingAway, "shutting down")
 	err := s.conn.WriteControl(websocket.CloseMessage, message, time.Now().Add(closeTimeout))
@@ -325,8 +349,25 @@
 	if frameType != websocket.BinaryMessage {
 		return nil, failure.New(failure.InvalidArgument, "run the same release on both ends", "received a text message on a binary session")
 	}
-	if _, err := buffer.ReadFrom(reader); err != nil {
+	if _, err := buffer.ReadFrom(&progressReader{conn: conn, frame: reader, timeout: timeout}); err != nil {
 		return nil, err
 	}
 	return wire.DecodeFrame(buffer.Bytes())
 }
+
+// progressReader reads a frame and restarts its timeout after every progressBytes.
+type progressReader struct {
+	conn    *websocket.Conn
+	frame   io.Reader
+	timeout time.Duration
+	read    int // bytes read since the timeout was restarted
+}
+
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.frame.Read(p)
+	if r.read += n; r.read < progressBytes {
+		return n, err
+	}
+	r.read = 0
+	return n, errors.CombineErrors(err, r.conn.SetReadDeadline(time.Now().Add(r.timeout)))
+}
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -112,6 +112,45 @@
 	return f.dialEvents.session(0), f.acceptEvents.session(0)
 }
 
+// slowLink returns the address of a proxy to target that forwards bytesPerSecond in each direction.
+func slowLink(target string, bytesPerSecond int) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(listener.Close)
+	forward := func(to, from net.Conn) {
+		const interval = 20 * time.Millisecond
+		buffer := make([]byte, bytesPerSecond/int(time.Second/interval))
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				_ = from.Close()
+				return
+			}
+			time.Sleep(interval * time.Duration(n) / time.Duration(len(buffer)))
+		}
+	}
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = client.Close()
+				return
+			}
+			go forward(server, client)
+			go forward(client, server)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // dialRaw dials without serving the session, so that a test can violate the protocol.
 func (f *fixture) dialRaw() *websocket.Conn {
 	conn, _, err := websocket.DefaultDialer.Dial("ws://"+f.address+Path(wire.RoleEntry), nil)
@@ -252,6 +291,27 @@
 		gomega.Eventually(func() int { _, n, _ := f.acceptEvents.counts(); return n }, 10*time.Second).Should(gomega.Equal(5))
 	})
 
+	// Guards against a timeout that covers a whole frame: on a loaded machine and on a slow link, a session ended while
+	// a large frame was in transit, although its peer was alive.
+	ginkgo.DescribeTable("remains open while a frame takes longer than the timeouts", func(sender func(dialed, accepted *Session) *Session) {
+		f := newFixture()
+		f.address = slowLink(f.address, 1<<20)
+		dialed, accepted := f.connect()
+		message := &wire.Start{}
+		message.Task.Body = make([]byte, 7<<20) // 7 s
+		gomega.Expect(sender(dialed, accepted).Send(message)).To(gomega.BeTrue())
+		gomega.Eventually(func() int {
+			_, dialedGot, _ := f.dialEvents.counts()
+			_, acceptedGot, _ := f.acceptEvents.counts()
+			return dialedGot + acceptedGot
+		}, 15*time.Second).Should(gomega.Equal(1))
+		_, _, ended := f.acceptEvents.counts()
+		gomega.Expect(ended).To(gomega.BeZero())
+	},
+		ginkgo.Entry("to the accepting process", func(dialed, _ *Session) *Session { return dialed }),
+		ginkgo.Entry("to the dialing process", func(_, accepted *Session) *Session { return accepted }),
+	)
+
 	// Guards against a session that outlives the host of its peer: the operating system repeats unacknowledged data
 	// at doubling intervals, so an agent noticed the restart of an entry's host up to 0.8 s after it was back. A peer
 	// that does not read stands in for a host that acknowledges nothing; without AckTimeout the session ends by its
