Send outcomes again that an entry may not have received

Cause: an agent forgot an outcome once it was sent, and all outcomes of an absent entry. The inventory of the next session does not list ended runs, and the entry counted them as lost. After any lost session, a run that had been done was started again: with a run of 200 ms and a session that was away for 200 ms, the worker had two starts.

Change: an owner keeps the outcomes that it sent after the last poll to which the entry has replied, and those that arise during an absence, and sends them with the next session, before the inventory. Older entries accept that order of messages. At most 1,024 are kept, until 2 s after the entry's runs were stopped.

Outcomes are sent again until confirmed, and forgotten if the entry stays away.

--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -41,6 +41,11 @@
 	// OwnerTimeout is how long a run continues after the last poll to which its owner has replied. It is
 	// below the 1.3 s after which a caller resubmits a job whose entry has failed.
 	OwnerTimeout = 900 * time.Millisecond
+	// endRetention is how long the outcomes for an absent entry are kept after its runs were stopped. With
+	// OwnerTimeout it exceeds the time after which an entry counts the runs of an absent agent as lost.
+	endRetention = 2 * time.Second
+	// maxUnconfirmed bounds the outcomes that are kept for one entry until it has confirmed them.
+	maxUnconfirmed = 1024
 	// PollInterval is the time between two liveness polls to an entry. An owner does not expire if two
 	// consecutive polls are delayed by a retransmission.
 	PollInterval = 250 * time.Millisecond
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -17,7 +17,8 @@
 	expiresAt     time.Duration // its runs continue until then
 	nextPollAt    time.Duration
 	lastOrder     uint64 // sequence number of the last order of this session
-	pendingEnds   []run.End
+	pendingEnds   []run.End     // to be sent on this session or the next one
+	unconfirmed   []sentEnd     // sent on this session; the entry may not have received them
 	sentState     wire.WorkerState // as last sent on this session
 	stateSent     bool             // sentState is set
 	nextStateAt   time.Duration    // earliest time of the next state, unless ends are sent
@@ -26,6 +27,29 @@
 	retiredAt     time.Duration
 }
 
+// sentEnd is an outcome that was sent at a time. The entry has received it if it replies to a poll that was sent
+// later, because a session keeps the order of messages.
+type sentEnd struct {
+	end    run.End
+	sentAt time.Duration
+}
+
+// restoreUnconfirmed makes the outcomes that may have been lost with a session pending again. The oldest are
+// dropped beyond maxUnconfirmed.
+func (o *owner) restoreUnconfirmed() {
+	restored := make([]run.End, 0, len(o.unconfirmed)+len(o.pendingEnds))
+	for _, sent := range o.unconfirmed {
+		restored = append(restored, sent.end)
+	}
+	restored = append(restored, o.pendingEnds...)
+	o.unconfirmed, o.pendingEnds = nil, restored[max(0, len(restored)-maxUnconfirmed):]
+}
+
+// confirm forgets the outcomes that were sent before a poll to which the entry has replied.
+func (o *owner) confirm(pollSent time.Duration) {
+	o.unconfirmed = slices.DeleteFunc(o.unconfirmed, func(sent sentEnd) bool { return sent.sentAt < pollSent })
+}
+
 func (m *Machine) connect(now time.Duration, id EntryID) {
 	for _, other := range m.ownerList {
 		if other.id.ID == id.ID && other.id != id {
@@ -38,7 +62,8 @@
 		m.owners[id] = o
 		m.ownerList = append(m.ownerList, o)
 	}
-	o.connected, o.inventorySent, o.stateSent, o.lastOrder, o.pendingEnds, o.retired = true, false, false, 0, nil, false
+	o.restoreUnconfirmed() // the earlier session may not have been closed
+	o.connected, o.inventorySent, o.stateSent, o.lastOrder, o.retired = true, false, false, 0, false
 	o.expiresAt = max(o.expiresAt, now+OwnerTimeout)
 	o.nextPollAt, o.nextStateAt = now, now
 	m.expireOwners(now)
@@ -46,7 +71,8 @@
 
 func (m *Machine) disconnect(id EntryID) {
 	if o := m.owners[id]; o != nil {
-		o.connected, o.pendingEnds = false, nil
+		o.connected = false
+		o.restoreUnconfirmed()
 	}
 }
 
@@ -82,7 +108,7 @@
 		}
 	}
 	m.ownerList = slices.DeleteFunc(m.ownerList, func(o *owner) bool {
-		if o.connected || now < o.expiresAt || m.hasRuns(o.id) {
+		if o.connected || now < o.expiresAt || m.hasRuns(o.id) || len(o.pendingEnds) > 0 && now < o.expiresAt+endRetention {
 			return false
 		}
 		delete(m.owners, o.id)
@@ -132,6 +158,7 @@
 		}
 	case *wire.OwnerGrant:
 		if message.Sent <= now {
+			o.confirm(message.Sent)
 			o.expiresAt = max(o.expiresAt, message.Sent+OwnerTimeout)
 		}
 	}
@@ -208,6 +235,8 @@
 			continue
 		}
 		if !o.inventorySent && m.allRunsKnown(now) {
+			// The entry counts runs without an outcome as lost if the inventory does not list them.
+			m.sendEnds(now, o)
 			o.inventorySent = true
 			m.send(o.id, m.inventory(o))
 		}
@@ -218,13 +247,22 @@
 		if !o.inventorySent {
 			continue
 		}
-		hadEnds := len(o.pendingEnds) > 0
-		if hadEnds {
-			m.send(o.id, &wire.RunEnds{Ends: o.pendingEnds})
-			o.pendingEnds = nil
-		}
-		m.sendState(now, o, hadEnds)
+		m.sendState(now, o, m.sendEnds(now, o))
+	}
+}
+
+// sendEnds sends the pending outcomes and reports whether there were any.
+func (m *Machine) sendEnds(now time.Duration, o *owner) bool {
+	if len(o.pendingEnds) == 0 {
+		return false
+	}
+	m.send(o.id, &wire.RunEnds{Ends: o.pendingEnds})
+	for _, end := range o.pendingEnds {
+		o.unconfirmed = append(o.unconfirmed, sentEnd{end: end, sentAt: now})
 	}
+	o.unconfirmed = o.unconfirmed[max(0, len(o.unconfirmed)-maxUnconfirmed):]
+	o.pendingEnds = nil
+	return true
 }
 
 func (m *Machine) inventory(o *owner) *wire.RunInventory {
--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -156,6 +156,43 @@
 	})
 })
 
+var _ = ginkgo.Describe("the outcomes for an entry whose session was lost", func() {
+	// Guards against outcomes that are lost with a session, and against outcomes that are sent again with every
+	// session although the entry has received them.
+	ginkgo.It("are sent again until the entry has replied to a later poll", func() {
+		f := newFleet(1, 50*time.Millisecond)
+		entry := f.entries[0]
+		reconnect := func(absence time.Duration) {
+			f.step(runner.Disconnected{Entry: entry})
+			f.orders[entry] = 0
+			f.advance(absence)
+			f.step(runner.Connected{Entry: entry})
+		}
+		f.order(entry, "0000000000000001")
+		f.advance(60 * time.Millisecond)
+		gomega.Expect(f.ends[entry]).To(gomega.Equal(1))
+		reconnect(10 * time.Millisecond)
+		gomega.Expect(f.ends[entry]).To(gomega.Equal(2), "in transit when the session ended")
+		f.order(entry, "0000000000000002")
+		reconnect(time.Second)
+		gomega.Expect(f.ends[entry]).To(gomega.Equal(4), "the run ended during the absence")
+		f.advance(time.Second)
+		reconnect(10 * time.Millisecond)
+		gomega.Expect(f.ends[entry]).To(gomega.Equal(4), "confirmed by a reply to a poll")
+	})
+
+	// Guards against memory that an entry occupies for ever after it has left.
+	ginkgo.It("are forgotten when the entry stays away", func() {
+		f := newFleet(1, 50*time.Millisecond)
+		entry := f.entries[0]
+		f.order(entry, "0000000000000001")
+		f.step(runner.Disconnected{Entry: entry})
+		f.advance(4 * time.Second)
+		f.step(runner.Connected{Entry: entry})
+		gomega.Expect(f.ends[entry]).To(gomega.BeZero())
+	})
+})
+
 var _ = ginkgo.Describe("a retired entry", func() {
 	// Guards against a session that is closed while runs of its entry are active: the entry would count them as lost
 	// and run them again only after the loss timeout.
