Hand leadership over and reject changes at a member whose disk is full

Cause: a leader whose disk was full kept its role, and a follower whose disk was full forwarded changes although it does not learn whether they are committed: its replies to the leader wait for a sync, so the leader neither resends entries nor announces commits to it. Its callers waited for their timeout instead of asking another member.

Change: the core is told when writes fail and when they succeed again (StorageChanged). Meanwhile a member starts no election, rejects changes that it would forward, and as the leader transfers leadership, at most every 3 s. Callers that wait at a member that can no longer learn the outcome are told that it is unknown. The gauge pollenpaddle_control_storage_failing is 1 while writes fail. The choice of the transferee compared one log length and stored another; of equal ones, the one of the previous attempt now comes last.

A check was wrong and is replaced: the spec that fills each disk in turn expected each change once, but it repeats a change whose outcome is unknown. It now expects each change in order, repeats aside, and the same list of changes at the other members.

Model runs of replication include the event.

--- a/internal/process/control/metrics.go
+++ b/internal/process/control/metrics.go
@@ -32,6 +32,12 @@
 			}
 			return 0
 		}),
+		gauge("storage_failing", "1 if the last write to the data folder failed and is being retried, as on a full disk.", func() float64 {
+			if s.replica.Status().Storage != "" {
+				return 1
+			}
+			return 0
+		}),
 		sessions("entry", func() float64 { return float64(s.counts.entries.Load()) }),
 		sessions("agent", func() float64 { return float64(s.counts.agents.Load()) }),
 		sessions("control", func() float64 { return float64(s.counts.members.Load()) }),
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -16,9 +16,9 @@
 	inventorySent bool          // the inventory was sent on this session
 	expiresAt     time.Duration // its runs continue until then
 	nextPollAt    time.Duration
-	lastOrder     uint64 // sequence number of the last order of this session
-	pendingEnds   []run.End     // to be sent on this session or the next one
-	unconfirmed   []sentEnd     // sent on this session; the entry may not have received them
+	lastOrder     uint64           // sequence number of the last order of this session
+	pendingEnds   []run.End        // to be sent on this session or the next one
+	unconfirmed   []sentEnd        // sent on this session; the entry may not have received them
 	sentState     wire.WorkerState // as last sent on this session
 	stateSent     bool             // sentState is set
 	nextStateAt   time.Duration    // earliest time of the next state, unless ends are sent
--- a/internal/version/replica/disk.go
+++ b/internal/version/replica/disk.go
@@ -22,6 +22,7 @@
 // handleWriteResult keeps the error of the write, if any, starts the next write and reports synced
 // batches to the core.
 func (r *Replica) handleWriteResult(w writeResult) error {
+	wasFailing := r.storageError != ""
 	r.storageError = ""
 	if w.err != nil {
 		r.storageError = w.err.Error()
@@ -29,6 +30,11 @@
 			r.options.OnError(w.err)
 		}
 	}
+	if failing := w.err != nil; failing != wasFailing {
+		if err := r.step(replication.StorageChanged{Failing: failing}); err != nil {
+			return err
+		}
+	}
 	if w.finished {
 		r.writing = false
 		r.startWrite()
--- a/internal/version/replica/group_test.go
+++ b/internal/version/replica/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -51,6 +52,17 @@
 	}
 }
 
+// changes returns the changes that a member has applied, each at its first place: proposeWithin repeats a change whose
+// outcome is unknown, and only the change ids of real commands make that harmless.
+func changes(p *process) []string {
+	seen := map[string]bool{}
+	return slices.DeleteFunc(p.state.copy(), func(change string) bool {
+		repeated := seen[change]
+		seen[change] = true
+		return repeated
+	})
+}
+
 var _ = ginkgo.Describe("a group that is forming", func() {
 	// Guards against a proposal that gets no outcome: a new member forwarded it before it had the configuration of the
 	// group, and the leader ignored it, in 2 of 60 runs on a busy machine.
@@ -88,12 +100,32 @@
 			}
 			gomega.Eventually(func() string { return all[full].Status().Storage }, testTimeout).ShouldNot(gomega.BeEmpty())
 			disks[full].Full.Store(false)
-			gomega.Eventually(all[full].state.copy, testTimeout).Should(gomega.Equal(want))
+			gomega.Eventually(func() []string { return changes(all[full]) }, testTimeout).Should(gomega.Equal(want))
+			gomega.Eventually(all[full].state.copy, testTimeout).Should(gomega.Equal(all[(full+1)%len(all)].state.copy()))
 			gomega.Eventually(func() string { return all[full].Status().Storage }, testTimeout).Should(gomega.BeEmpty())
 		}
 		c.stop(all...)
 	})
 
+	// Guards against callers that wait for their timeout at a member that cannot learn the outcome of their changes,
+	// because its disk is full: they reach another member after an answer.
+	ginkgo.It("rejects changes at a follower whose disk is full at once, and those that wait there", func() {
+		c, all, disks := startOnFaultyDisks()
+		for full, p := range all {
+			disks[full].Full.Store(true)
+			gomega.Expect(proposeWithin(all, testTimeout, fmt.Sprint("disk ", full))).To(gomega.Succeed())
+			gomega.Eventually(func() bool { return p.Status().Storage != "" && p.Status().Role != "leader" }, testTimeout).Should(gomega.BeTrue())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := p.Propose(ctx, []byte("at the full disk"))
+			gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
+			gomega.Expect(failure.KindOf(err)).To(gomega.Equal(failure.Unavailable))
+			cancel()
+			disks[full].Full.Store(false)
+			gomega.Eventually(func() string { return p.Status().Storage }, testTimeout).Should(gomega.BeEmpty())
+		}
+		c.stop(all...)
+	})
+
 	// Guards against a change that is acknowledged although only a minority could write it, and against a group
 	// that does not continue, or loses an acknowledged change, when there is space again.
 	ginkgo.It("acknowledges nothing while the disks of a majority are full, and continues afterwards", func() {
--- a/internal/version/replica/replica.go
+++ b/internal/version/replica/replica.go
@@ -232,6 +232,11 @@
 // handleRequests handles the requests that were queued together. Their proposals are appended
 // together.
 func (r *Replica) handleRequests(requests []request) error {
+	for _, q := range requests {
+		if err := r.handleRequest(q); err != nil {
+			return err
+		}
+	}
 	var proposals []replication.Proposal
 	for _, q := range requests {
 		if q.proposal != nil {
@@ -240,11 +245,6 @@
 			proposals = append(proposals, replication.Proposal{Sequence: r.lastProposal, Data: q.proposal.data})
 		}
 	}
-	for _, q := range requests {
-		if err := r.handleRequest(q); err != nil {
-			return err
-		}
-	}
 	if len(proposals) == 0 {
 		return nil
 	}
@@ -301,6 +301,9 @@
 		return err
 	}
 	r.publish(now, out.RoleChanged)
+	if r.storageError != "" && r.core.Status().Role != replication.Leader {
+		r.abandonWaiters("this member cannot write to its data folder and does not lead the group") // it does not learn of commits
+	}
 	if out.RoleChanged && r.options.OnRoleChange != nil {
 		r.options.OnRoleChange(r.Status())
 	}
@@ -314,10 +317,7 @@
 		}
 		r.snapshotIndex, r.appliedBytes = s.Index, 0
 		// The snapshot may include forwarded proposals, whose entries will not be applied here.
-		for sequence, w := range r.waiters {
-			delete(r.waiters, sequence)
-			w.outcome <- outcome{err: unknownOutcome("this member fell behind and was restored from a newer snapshot")}
-		}
+		r.abandonWaiters("this member fell behind and was restored from a newer snapshot")
 	}
 	last := uint64(0)
 	for i := range out.Committed {
@@ -340,6 +340,14 @@
 	return r.step(replication.Snapshotted{Index: last, Data: data})
 }
 
+// abandonWaiters returns an unknown outcome to all waiting callers.
+func (r *Replica) abandonWaiters(reason string) {
+	for sequence, w := range r.waiters {
+		delete(r.waiters, sequence)
+		w.outcome <- outcome{err: unknownOutcome(reason)}
+	}
+}
+
 // completeWaiter returns the index of the entry to the caller whose proposal or membership change it
 // contains.
 func (r *Replica) completeWaiter(e *replication.Entry) {
--- a/internal/version/replication/cluster_test.go
+++ b/internal/version/replication/cluster_test.go
@@ -285,6 +285,7 @@
 		}
 		m.writeDoneAt = m.cluster.now + 50*time.Millisecond
 	}
+	m.handle(replication.StorageChanged{Failing: err != nil})
 	for len(m.writingBatches) > 0 && m.writingBatches[0].Sequence <= done {
 		m.writingBatches = m.writingBatches[1:]
 	}
--- a/internal/version/replication/core.go
+++ b/internal/version/replication/core.go
@@ -62,6 +62,8 @@
 	preVote           Identity // member that this one last supported in a pre-vote, from preVoteAt on; a pre-candidate supports itself
 	preVoteAt         time.Duration
 	requestedByLeader bool // the leader requested the current candidacy
+	writesFail        bool // see StorageChanged
+	nextHandOver      time.Duration
 
 	leaderState *leaderState // nil unless role is Leader
 	incoming    *incomingSnapshot
@@ -120,6 +122,9 @@
 		c.compactLog(e)
 	case TransferLeadership:
 		c.startTransfer()
+	case StorageChanged:
+		c.writesFail = e.Failing
+		c.handOverUnwritable()
 	case PeersChanged:
 		c.options.Peers = e.Peers
 	}
@@ -150,11 +155,11 @@
 	}
 }
 
-// mayStartElection reports whether this member may start an election. Until the entry that removes it
+// mayStartElection reports whether this member may start an election: it must be able to store its own vote. Until the entry that removes it
 // is committed, a removed member may be the only one with all committed entries and must still be
 // able to lead; its own vote does not count then.
 func (c *Core) mayStartElection() bool {
-	if !c.mayVote() {
+	if !c.mayVote() || c.writesFail {
 		return false
 	}
 	if c.configuration.IsVoter(c.options.Identity) {
--- a/internal/version/replication/event.go
+++ b/internal/version/replication/event.go
@@ -56,6 +56,12 @@
 // TransferLeadership asks a leader to transfer its leadership to another voter.
 type TransferLeadership struct{}
 
+// StorageChanged tells the core whether writes fail and are retried, as on a full disk. Such a member starts no
+// election, rejects proposals that it would forward, and as the leader it hands leadership over. Received batches are retried until they are durable, so
+// a member whose writes fail always gets the opposite event once there is space.
+type StorageChanged struct{ Failing bool }
+
+func (StorageChanged) event()     {}
 func (Tick) event()               {}
 func (Received) event()           {}
 func (Propose) event()            {}
@@ -163,6 +169,9 @@
 	// retryInterval is the time without progress after which a leader resends. It is well above the time
 	// of a synced write, so that a slow disk rarely causes duplicates.
 	retryInterval = 300 * time.Millisecond
+	// handOverInterval is the time between two attempts of a leader whose writes fail to hand leadership over. It
+	// rejects proposals during an attempt, for at most ElectionTimeoutMax.
+	handOverInterval = 3 * time.Second
 	// joinInterval is the time between the join requests of a process.
 	joinInterval = 500 * time.Millisecond
 	// joinValidity is the time for which a join request is valid.
--- a/internal/version/replication/leader.go
+++ b/internal/version/replication/leader.go
@@ -39,10 +39,21 @@
 	if c.now >= l.nextRound {
 		c.startRound()
 	}
+	c.handOverUnwritable()
 	c.promoteLearner()
 	c.admitJoiner()
 }
 
+// handOverUnwritable transfers leadership if the writes of this leader fail. The group commits without this
+// member's disk as long as a majority can write, but a leader that cannot is one failure away from a standstill.
+func (c *Core) handOverUnwritable() {
+	if c.leaderState == nil || !c.writesFail || c.now < c.nextHandOver {
+		return
+	}
+	c.nextHandOver = c.now + handOverInterval
+	c.startTransfer()
+}
+
 // proposalRejection returns why this member rejects proposals at present; "" if it accepts them.
 func (c *Core) proposalRejection() string {
 	l := c.leaderState
@@ -63,7 +74,14 @@
 	// A new member that has heard from the leader, but has not received the group's configuration yet, must not
 	// forward: the leader ignores requests without a group, and the caller would wait until its timeout.
 	if c.leaderState == nil && c.leader != NoIdentity && c.configuration.Group != 0 {
-		c.forward(proposals)
+		if !c.writesFail {
+			c.forward(proposals)
+			return
+		}
+		// Without a disk this member does not acknowledge the leader's log and does not learn of commits.
+		for _, p := range proposals {
+			c.out.Rejected = append(c.out.Rejected, Rejection{Sequence: p.Sequence, Reason: "this member cannot write to its data folder"})
+		}
 		return
 	}
 	appended := false
@@ -266,7 +284,8 @@
 }
 
 // startTransfer stops accepting proposals and transfers leadership to the voter with the longest log
-// among those from which it has received a message within ElectionTimeoutMin.
+// among those from which it has received a message within ElectionTimeoutMin. Of equals, the transferee of the
+// previous attempt comes last.
 func (c *Core) startTransfer() {
 	if c.leaderState == nil || c.leaderState.transferee != NoIdentity {
 		return
@@ -275,14 +294,16 @@
 	for _, m := range c.configuration.Members {
 		p := c.leaderState.progressOf(m.Identity)
 		responsive := p.hadContact && c.now-p.lastContact < ElectionTimeoutMin
-		if m.Voter && m.Identity != c.options.Identity && responsive && p.countedMatch() > match {
-			best, match = m.Identity, p.match
+		longer := p.countedMatch() > match || p.countedMatch() == match && best == c.leaderState.lastTransferee
+		if m.Voter && m.Identity != c.options.Identity && responsive && p.countedMatch() > 0 && longer {
+			best, match = m.Identity, p.countedMatch()
 		}
 	}
 	if best == NoIdentity {
 		return
 	}
-	c.leaderState.transferee, c.leaderState.transferDeadline = best, c.now+ElectionTimeoutMax
+	c.leaderState.transferee, c.leaderState.lastTransferee = best, best
+	c.leaderState.transferDeadline = c.now + ElectionTimeoutMax
 	c.continueTransfer()
 }
 
--- a/internal/version/replication/progress.go
+++ b/internal/version/replication/progress.go
@@ -81,7 +81,8 @@
 	roundSent        [roundHistory]time.Duration
 	nextRound        time.Duration
 	uncommittedBytes int
-	transferee       Identity
+	transferee       Identity // of the transfer in progress
+	lastTransferee   Identity // of the last transfer of this term
 	transferDeadline time.Duration
 }
 
--- a/internal/version/replication/scenario_test.go
+++ b/internal/version/replication/scenario_test.go
@@ -197,6 +197,35 @@
 		gomega.Expect(c.oracle.commands()).To(gomega.Equal([]string{"before"}))
 	})
 
+	// Guards against a leader that cannot write and keeps its role, and against a group that stands still because
+	// leadership is handed to another member whose disk is full, or because such a member starts elections.
+	ginkgo.DescribeTable("hands leadership over when the leader's disk is full", func(size, full int) {
+		for seed := range uint64(20) {
+			c := newSettledCluster(3000+seed, size)
+			old := c.leader()
+			unwritable := append([]*machine{old}, c.followers()[:full-1]...)
+			for _, m := range unwritable {
+				m.files.Space = 0
+			}
+			old.propose("first")
+			const attempts = 3 // the first transferees may be members that cannot write either
+			canWrite := func() bool { return c.leader() != nil && !slices.Contains(unwritable, c.leader()) }
+			gomega.Expect(c.runUntil(attempts*3*time.Second, canWrite)).To(gomega.BeTrue(), "seed %d", seed)
+			leader := c.leader()
+			leader.propose("second")
+			c.advance(2 * time.Second)
+			gomega.Expect(c.leader()).To(gomega.Equal(leader), "seed %d", seed)
+			for _, m := range unwritable {
+				m.files.Space = -1
+			}
+			gomega.Expect(c.runUntil(3*time.Second, c.settled)).To(gomega.BeTrue(), "seed %d", seed)
+			gomega.Expect(c.oracle.commands()).To(gomega.ContainElement("second"), "seed %d", seed)
+		}
+	},
+		ginkgo.Entry("one of three", 3, 1),
+		ginkgo.Entry("two of five", 5, 2),
+	)
+
 	// Guards against a proposal that is neither committed nor reported: it must be rejected, or reported as
 	// possibly committed.
 	ginkgo.It("reports each rejected proposal, also a forwarded one", func() {
--- a/internal/version/storage/faultfs/faultfs.go
+++ b/internal/version/storage/faultfs/faultfs.go
@@ -37,6 +37,8 @@
 	FailSyncs int
 	// FailWrite is how many of the following writes stop half-way with an input/output error.
 	FailWrite int
+	// FullSyncs and FullRenames are how many of the following syncs of files and renames fail for lack of space.
+	FullSyncs, FullRenames int
 	// Syncs counts the syncs of files.
 	Syncs int
 }
@@ -141,6 +143,10 @@
 	if !ok {
 		return fs.ErrNotExist
 	}
+	if f.FullRenames > 0 {
+		f.FullRenames--
+		return unix.ENOSPC
+	}
 	f.names[to] = n
 	delete(f.names, from)
 	return nil
@@ -228,6 +234,10 @@
 	if h.epoch != h.fs.epoch || h.fs.failsSync() {
 		return unix.EIO
 	}
+	if h.fs.FullSyncs > 0 {
+		h.fs.FullSyncs--
+		return unix.ENOSPC
+	}
 	h.inode.synced = append([]byte(nil), h.inode.data...)
 	return nil
 }
--- a/internal/version/storage/storage_test.go
+++ b/internal/version/storage/storage_test.go
@@ -177,6 +177,43 @@
 		gomega.Expect(failed).To(gomega.BeNumerically(">", 80))
 	})
 
+	// Guards against a snapshot that is lost or half in place when the disk runs out of space at a sync or a rename of
+	// its files. Its two files are the snapshot and the new log.
+	ginkgo.It("repeats a snapshot whose sync or rename found no space", func() {
+		for _, space := range []struct{ syncs, renames, failures int }{{1, 0, 1}, {0, 1, 1}, {1, 1, 2}, {2, 2, 4}} {
+			files := threeWriteGroups()
+			store, _ := open(files)
+			rewrite := replication.Batch{Sequence: 1, Rewrite: &replication.Snapshot{Index: 6, Term: 3}, State: &replication.HardState{Term: 4}, Entries: []replication.Entry{entry(4, 7)}}
+			files.FullSyncs, files.FullRenames = space.syncs, space.renames
+			for range space.failures {
+				_, err := store.Write([]replication.Batch{rewrite})
+				gomega.Expect(failure.KindOf(err)).To(gomega.Equal(failure.Unavailable), "%+v", space)
+			}
+			write(store, rewrite)
+			files.Crash()
+			_, recovered := open(files)
+			gomega.Expect(recovered.State.Term).To(gomega.Equal(uint64(4)))
+			gomega.Expect(recovered.Snapshot.Index).To(gomega.Equal(uint64(6)))
+			gomega.Expect(recovered.Entries).To(gomega.Equal([]replication.Entry{entry(4, 7)}))
+		}
+	})
+
+	// Guards against a change that is acknowledged, or read after a restart in part, when a sync of the log finds no
+	// space: what the disk holds is then unknown until the data folder is opened again.
+	ginkgo.It("stops when a sync of the log found no space, and recovers what was acknowledged", func() {
+		for seed := range uint64(50) {
+			files := faultfs.New(seed)
+			store, _ := open(files)
+			write(store, replication.Batch{Sequence: 1, State: &replication.HardState{Term: 3}, Entries: []replication.Entry{entry(3, 1), entry(3, 2)}})
+			files.FullSyncs = 1
+			_, err := store.Write([]replication.Batch{{Sequence: 2, Entries: []replication.Entry{entry(3, 3), entry(3, 4)}}})
+			gomega.Expect(failure.KindOf(err)).To(gomega.Equal(failure.Internal))
+			files.Crash()
+			_, recovered := open(files)
+			gomega.Expect(recovered.Entries).To(gomega.Equal([]replication.Entry{entry(3, 1), entry(3, 2)}))
+		}
+	})
+
 	// Guards against a second sync that succeeds after the kernel has dropped the data.
 	ginkgo.It("rejects writes after a failed sync, and does not recover the write group", func() {
 		files := threeWriteGroups()
