Print the id of a submission whose outcome is unknown; bound agent connections

Causes: pollenpaddle submit generates an id, but printed it only with the job, so a submission whose response was lost could not be resent under it. The settings accepted up to 65536 agent connections, and the agent at most 4096: the process failed after its settings had passed the check.

Tests: the id is printed with the error; 4097 connections are rejected with the key. Both failed before.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -93,6 +93,17 @@
 		gomega.Expect(sent.ID).To(gomega.HaveLen(36))
 	})
 
+	// Guards against a caller that cannot resend a submission whose response was lost, because the tool generated the
+	// id and did not print it: the job would run twice.
+	ginkgo.It("prints the id to resend a submission whose outcome is unknown", func() {
+		s.fail("POST /v1/jobs", failure.MayHaveRun)
+		code, _, errors := run("--address", s.address, "submit", job())
+		gomega.Expect(code).To(gomega.Equal(command.ExitMayHaveRun))
+		var sent struct{ ID string }
+		gomega.Expect(json.Unmarshal([]byte(s.bodies["POST /v1/jobs"]), &sent)).To(gomega.Succeed())
+		gomega.Expect(errors).To(gomega.ContainSubstring("--id " + sent.ID))
+	})
+
 	// Guards against an exit code by which a script cannot detect a failed job.
 	ginkgo.It("exits with 7 for a failed job", func() {
 		s.respond("POST /v1/jobs", `{"id":"j1","state":"failed","tasks":[{"state":"may_have_run","message":"agent lost"}]}`)
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -70,7 +70,7 @@
 
 // readJob reads a job file and adds missing fields. The tool generates a missing id, so that a submission
 // whose response was lost can be resent without running the job twice; the id is printed with the job,
-// but not with an error.
+// and with the error if the outcome is unknown.
 func (t *invocation) readJob(file, class, organisation, id string) (map[string]json.RawMessage, error) {
 	var content []byte
 	var err error
@@ -103,14 +103,22 @@
 func (t *invocation) submit(body map[string]json.RawMessage, wait time.Duration) error {
 	var response jobResponse
 	if err := t.client.call("POST", "/v1/jobs?wait=0s", body, &response); err != nil {
-		return err
+		if failure.KindOf(err) != failure.MayHaveRun {
+			return err
+		}
+		return failure.New(failure.MayHaveRun, fmt.Sprintf("repeat the command with --id %s, which returns the same job", text(body["id"])),
+			"the outcome of the submission is unknown: %v", err)
 	}
 	if wait == 0 {
 		return t.printJob(&response)
 	}
-	var organisation string
-	_ = json.Unmarshal(body["organisation"], &organisation) // the server has validated the field
-	return t.wait(&response, organisation, wait)
+	return t.wait(&response, text(body["organisation"]), wait)
+}
+
+// text returns the string in a field of a job that this tool or the server has validated.
+func text(field json.RawMessage) (s string) {
+	_ = json.Unmarshal(field, &s)
+	return s
 }
 
 func (t *invocation) addWait(app *kingpin.Application) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -268,7 +268,7 @@
 	a.UpstreamName = r.text("agent", "upstream_name", "", false)
 	a.Rack = r.text("agent", "rack", "", false)
 	a.Slots = int(r.integer("agent", "slots", 8, 1, 4096))
-	a.Connections = int(r.integer("agent", "connections", 64, 1, 65536))
+	a.Connections = int(r.integer("agent", "connections", 64, 1, 4096))
 	a.MilliProcessors = r.integer("agent", "milli_processors", 0, 0, 1<<30)
 	a.MemoryBytes = r.integer("agent", "memory_bytes", 0, 0, 1<<50)
 	a.Accelerators = r.integer("agent", "accelerators", 0, 0, 1<<16)
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -55,6 +55,8 @@
 		ginkgo.Entry("an address without port", validSettings+"listen = localhost\n", "process", "listen", `"localhost"`, "host:port"),
 		ginkgo.Entry("a number out of range", validSettings+"[entry]\nmax_tasks = 111\n", "entry", "max_tasks", `"111"`, "from 1 to 110"),
 		ginkgo.Entry("a body limit above 8 MiB", validSettings+"[entry]\nmax_body_bytes = 8388609\n", "entry", "max_body_bytes", `"8388609"`, "from 1024 to 8388608"),
+		// The agent rejects such an upstream, so the process used to fail after its settings had passed the check.
+		ginkgo.Entry("more connections than the agent accepts", validSettings+"[agent]\nconnections = 4097\n", "agent", "connections", `"4097"`, "4096"),
 		ginkgo.Entry("a number with a unit", validSettings+"[agent]\nslots = 8 cores\n", "agent", "slots", `"8 cores"`, "whole number"),
 		ginkgo.Entry("an invalid duration", validSettings+"[entry]\nresult_retention = 10\n", "entry", "result_retention", `"10"`, "duration"),
 		ginkgo.Entry("an unknown policy", validSettings+"[entry]\npolicy = bogus\n", "entry", "policy", `"bogus"`, "random, two_choices"),
