Check jobs every 25 ms again; format the last changes

Cause: set checkInterval to 280 ms. The value belonged to a trial that made the spec on hanging runs fail, and was committed by mistake. Runs that hang and jobs that cannot meet their deadline were noticed up to 255 ms later.

Test: a run that hangs must be stopped within 50 ms of the limit for stragglers. It failed with 280 ms: the job took 826 ms instead of at most 630 ms.

--- a/internal/request/runner/peer_messages_test.go
+++ b/internal/request/runner/peer_messages_test.go
@@ -58,7 +58,9 @@
 		faulty, sound := f.entries[0], f.entries[1]
 		t.Repeat(map[string]func(*rapid.T){
 			"message": func(t *rapid.T) { f.step(runner.Received{Entry: faulty, Message: drawEntryMessage(t)}) },
-			"advance": func(t *rapid.T) { f.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "milliseconds")) * time.Millisecond) },
+			"advance": func(t *rapid.T) {
+				f.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "milliseconds")) * time.Millisecond)
+			},
 			"reconnect": func(*rapid.T) {
 				f.step(runner.Disconnected{Entry: faulty})
 				f.step(runner.Connected{Entry: faulty})
--- a/internal/request/scheduler/peer_messages_test.go
+++ b/internal/request/scheduler/peer_messages_test.go
@@ -64,7 +64,9 @@
 			"submit": func(t *rapid.T) {
 				jobs = append(jobs, c.submit(e, c.submission(jobClasses[rapid.IntRange(0, 2).Draw(t, "class")])))
 			},
-			"advance": func(t *rapid.T) { c.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "milliseconds")) * time.Millisecond) },
+			"advance": func(t *rapid.T) {
+				c.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "milliseconds")) * time.Millisecond)
+			},
 		})
 		c.stepEntry(e, scheduler.AgentDisconnected{Agent: faulty})
 		c.advance(20 * time.Second)
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -25,7 +25,7 @@
 	maxAgentWait  = 30 * time.Millisecond
 	agentWaitStep = 4
 	// checkInterval is the time between two checks of a job with active runs or waiting tasks.
-	checkInterval = 280 * time.Millisecond
+	checkInterval = 25 * time.Millisecond
 	// slowElapsedRatio is the mean ratio of elapsed to predicted time over the runs of an agent above
 	// which the agent counts as slow. Active runs are half done on average, so the usual ratio is 0.5.
 	slowElapsedRatio = 1.3
@@ -244,8 +244,8 @@
 }
 
 // chooseAgent returns the agent with the earliest predicted completion for a task and the predicted wait for
-// capacity there, or nil if the task has to wait at the entry. The task's avoidAgent is chosen only if no other agent is available, with or without
-// free capacity; its backoff is then ignored.
+// capacity there, or nil if the task has to wait at the entry. The task's avoidAgent is chosen only if no other
+// agent is available, with or without free capacity; its backoff is then ignored.
 func (m *Machine) chooseAgent(now time.Duration, t *task) (*agent, time.Duration) {
 	s := t.job.submission
 	need := s.Steps[t.step].Need
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/request/runner"
 	"pollenpaddle/internal/request/scheduler"
 )
@@ -127,6 +128,25 @@
 		gomega.Expect(inTimeShare).To(gomega.BeNumerically(">", 0.85))
 	})
 
+	// Guards against a hung run that is noticed long after it has exceeded the limit for stragglers, because the
+	// job is checked too rarely. The limit is 160% of the median of the completed runs and 40 ms.
+	ginkgo.It("stops a run that hangs within 50 ms of the limit for stragglers", func() {
+		const runTime, limit, checkDelay = 200 * time.Millisecond, 360 * time.Millisecond, 50 * time.Millisecond
+		c := newCluster(1, 4)
+		c.nodes[2].hangShare = 1
+		s := c.submission(jobClasses[2])
+		s.Steps[0] = scheduler.Step{Count: 4, Need: workerCapacity, DeclaredRunTime: runTime}
+		s.Wait = 10 * time.Second
+		for k := range 4 {
+			c.actual[run.TaskID{Job: s.ID, Index: uint16(k)}] = runTime
+		}
+		c.submit(c.entries[0], s)
+		c.advance(3 * time.Second)
+		record := c.records[s.ID]
+		gomega.Expect(record.Verdict).To(gomega.Equal(scheduler.Completed))
+		gomega.Expect(record.decidedAt - record.submitted).To(gomega.BeNumerically("<=", limit+checkDelay+runTime+2*startDelay))
+	})
+
 	// Guards against a worker that has become slow and still gets its full share of runs.
 	ginkgo.It("avoids a worker that has become slow", func() {
 		c := newCluster(3, 11)
--- a/internal/version/replication/core.go
+++ b/internal/version/replication/core.go
@@ -155,9 +155,9 @@
 	}
 }
 
-// mayStartElection reports whether this member may start an election: it must be able to store its own vote. Until the entry that removes it
-// is committed, a removed member may be the only one with all committed entries and must still be
-// able to lead; its own vote does not count then.
+// mayStartElection reports whether this member may start an election: it must be able to store its own vote. A
+// removed member may start one until the entry that removes it is committed, because it may be the only member
+// with all committed entries; its own vote does not count then.
 func (c *Core) mayStartElection() bool {
 	if !c.mayVote() || c.writesFail {
 		return false
--- a/internal/version/replication/event.go
+++ b/internal/version/replication/event.go
@@ -57,8 +57,8 @@
 type TransferLeadership struct{}
 
 // StorageChanged tells the core whether writes fail and are retried, as on a full disk. Such a member starts no
-// election, rejects proposals that it would forward, and as the leader it hands leadership over. Received batches are retried until they are durable, so
-// a member whose writes fail always gets the opposite event once there is space.
+// election, rejects proposals that it would forward, and as the leader it hands leadership over.
+// Batches are retried until they are durable, so the opposite event follows once there is space.
 type StorageChanged struct{ Failing bool }
 
 func (StorageChanged) event()     {}
