Test the split of a batch with messages that need it

No session had ended.

The spec also did not guard what it names: a message of 7 MB completes its frame (maxBatchBytes), so the batch never reached the limit, and with the split removed the spec passed.

Change: a message of half a batch and one that nearly fills a frame are queued before the session sends anything. The spec fails as soon as the session ends, and waits a minute for the messages.

With the split removed it fails (4 of 4). 16 copies of the whole package at a time: all pass.

--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -29,6 +29,7 @@
 	sessions []*Session
 	received []wire.Message
 	closed   []error
+	opened   func(s *Session)
 	reply    func(s *Session, messages []wire.Message)
 }
 
@@ -41,6 +42,9 @@
 
 func (r *recorder) SessionOpened(s *Session) {
 	r.record("opened", func() { r.sessions = append(r.sessions, s) })
+	if r.opened != nil {
+		r.opened(s)
+	}
 }
 
 func (r *recorder) SessionClosed(_ *Session, err error) {
@@ -279,16 +283,27 @@
 		gomega.Expect(received).To(gomega.Equal(2000))
 	})
 
-	// Guards against a batch of large messages that exceeds the peer's frame limit.
+	// Guards against a batch that exceeds the peer's frame limit: a small message and one that nearly fills a frame
+	// are queued before the session sends anything.
 	ginkgo.It("splits a batch that exceeds the frame limit", func() {
 		f := newFixture()
-		dialed, _ := f.connect()
-		for range 5 {
-			message := &wire.Start{}
-			message.Task.Body = make([]byte, 7<<20)
-			gomega.Expect(dialed.Send(message)).To(gomega.BeTrue())
+		f.dialEvents.opened = func(s *Session) {
+			for _, size := range []int{maxBatchBytes / 2, wire.MaxFrameBytes - maxBatchBytes/4} {
+				message := &wire.Start{}
+				message.Task.Body = make([]byte, size)
+				s.Send(message)
+			}
 		}
-		gomega.Eventually(func() int { _, n, _ := f.acceptEvents.counts(); return n }, 10*time.Second).Should(gomega.Equal(5))
+		f.connect()
+		// A frame above the limit ends the session at once. The time until the messages have arrived is that of the
+		// processor: with the race detector, beside other tests, several frames took more than 10 s.
+		gomega.Eventually(func(g gomega.Gomega) {
+			_, received, closed := f.acceptEvents.counts()
+			if closed > 0 {
+				gomega.StopTrying("the session ended").Wrap(f.acceptEvents.firstCloseError()).Now()
+			}
+			g.Expect(received).To(gomega.Equal(2))
+		}, time.Minute).Should(gomega.Succeed())
 	})
 
 	// Guards against a timeout that covers a whole frame: on a loaded machine and on a slow link, a session ended while
