Limit waiting runs by an entry's part of the orders

Cause: an agent serves the runs that wait for capacity by priority, and each entry could have one of a priority waiting. All entries therefore got the same part of the freed capacity, whatever their part of the jobs, and in a burst the callers of the busiest entry waited longer than the others. On the users' platform an entry serves mainly the callers of one availability zone.

Change: an agent counts the runs that each entry orders in 0.5 s and limits its waiting runs in proportion: one on average, at least one, at most four. WaitingRuns.Own now says that the limit is reached, so older entries obey it.

--- a/internal/connection/wire/run.go
+++ b/internal/connection/wire/run.go
@@ -85,7 +85,7 @@
 	_        struct{} `cbor:",toarray"`
 	Priority int
 	Need     job.Resources
-	Own      bool // at least one of them was ordered by the receiver
+	Own      bool // the receiver must not send more of them to wait: it has as many as its part of the orders allows, at least one
 }
 
 // OwnerPoll asks an entry to confirm that it still owns its runs at the sender.
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -139,6 +139,7 @@
 
 	owners        map[EntryID]*owner
 	ownerList     []*owner // in order of connection, for deterministic output
+	demand        demand
 	records       map[run.ID]*record
 	startedByTask map[run.TaskID]*record // records that are not waiting
 	queue         []*record              // waiting records, in the order in which they are started
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -23,6 +23,8 @@
 	stateSent     bool             // sentState is set
 	nextStateAt   time.Duration    // earliest time of the next state, unless ends are sent
 	activeUntil   time.Duration    // ownerActivePeriod after the last order
+	ordered       int              // runs ordered in the current window of demand
+	waitingLimit  int              // runs of one priority that may wait; zero: one
 	retired       bool             // the session is to be closed
 	retiredAt     time.Duration
 }
@@ -168,6 +170,7 @@
 func (m *Machine) handleOrder(now time.Duration, o *owner, order *wire.RunOrder) {
 	o.lastOrder = order.Sequence
 	o.activeUntil = now + ownerActivePeriod
+	m.demand.record(now, m.ownerList, o, len(order.Tasks))
 	o.nextStateAt = min(o.nextStateAt, now+m.stateInterval(now, o))
 	for _, t := range order.Tasks {
 		id := order.ID(t)
--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -237,3 +237,39 @@
 		gomega.Expect(states[len(states)-1].Open).To(gomega.BeTrue())
 	})
 })
+
+var _ = ginkgo.Describe("runs that wait at an agent", func() {
+	// Guards against callers of an entry with most of the jobs that are served worse than others in a burst, because
+	// each entry may have one run waiting; and against an entry that fills the queue of an agent.
+	ginkgo.It("are limited in proportion to the orders of their entry", func() {
+		f := newFleet(3, time.Second)
+		jobs := 0
+		orderRuns := func(from runner.EntryID, n int) {
+			for range n {
+				jobs++
+				f.order(from, fmt.Sprint("job-", jobs))
+			}
+		}
+		maySendMore := func(entry runner.EntryID) bool {
+			f.advance(50 * time.Millisecond)
+			states := f.states[entry]
+			waiting := states[len(states)-1].Waiting
+			return len(waiting) == 0 || !waiting[0].Own
+		}
+		for range 3 {
+			orderRuns(f.entries[0], 12)
+			orderRuns(f.entries[1], 5)
+			orderRuns(f.entries[2], 3)
+			f.advance(1100 * time.Millisecond)
+		}
+		for _, entry := range f.entries {
+			orderRuns(entry, 22) // the worker has room for 64
+		}
+		gomega.Expect(maySendMore(f.entries[2])).To(gomega.BeFalse(), "two of its runs wait")
+		gomega.Expect(maySendMore(f.entries[0])).To(gomega.BeTrue(), "none of its runs waits")
+		orderRuns(f.entries[0], 1)
+		gomega.Expect(maySendMore(f.entries[0])).To(gomega.BeTrue(), "one of its runs waits")
+		orderRuns(f.entries[0], 1)
+		gomega.Expect(maySendMore(f.entries[0])).To(gomega.BeFalse(), "two of its runs wait")
+	})
+})
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -143,15 +143,20 @@
 		Service: w.service, Rack: w.rack, Labels: w.labels, Capacity: w.capacity, Free: job.Difference(w.capacity, m.used),
 		Open: m.acceptsStarts(now) && !o.retired, Failures: w.failures, Orders: o.lastOrder,
 	}
+	own := 0 // runs of the owner with the priority of the last element of state.Waiting
 	for _, r := range m.queue {
 		last := len(state.Waiting) - 1
 		if last < 0 || state.Waiting[last].Priority != r.priority {
 			state.Waiting = append(state.Waiting, wire.WaitingRuns{Priority: r.priority})
 			last++
+			own = 0
 		}
 		waitingRuns := &state.Waiting[last]
 		waitingRuns.Need = job.Sum(waitingRuns.Need, r.need)
-		waitingRuns.Own = waitingRuns.Own || r.owner == o.id
+		if r.owner == o.id {
+			own++
+		}
+		waitingRuns.Own = own >= max(1, o.waitingLimit)
 	}
 	return state
 }
--- a/internal/request/scheduler/load_test.go
+++ b/internal/request/scheduler/load_test.go
@@ -64,6 +64,12 @@
 // load submits jobs of all classes for d, at x times the usual rate. At the usual rate and with defaultNeed, the jobs
 // occupy 490 processors on average; eleven workers have 704.
 func (c *cluster) load(d time.Duration, x float64) {
+	c.loadEntries(d, x, func() int { return c.random.IntN(len(c.entries)) }, func(int, *jobRecord) {})
+}
+
+// loadEntries is like load. It submits each job to the entry with the chosen index, if that runs, and reports its
+// record.
+func (c *cluster) loadEntries(d time.Duration, x float64, choose func() int, submitted func(entry int, record *jobRecord)) {
 	next := make([]time.Duration, len(jobClasses))
 	for k := range jobClasses {
 		next[k] = c.now + c.interarrival(jobClasses[k].rate*x)
@@ -73,8 +79,10 @@
 		for k := range jobClasses {
 			for next[k] <= c.now {
 				next[k] += c.interarrival(jobClasses[k].rate * x)
-				if e := c.entries[c.random.IntN(len(c.entries))]; !e.dead {
-					c.submit(e, c.submission(jobClasses[k]))
+				entry := choose()
+				if e := c.entries[entry]; !e.dead {
+					id := c.submit(e, c.submission(jobClasses[k]))
+					submitted(entry, c.records[id])
 				}
 			}
 		}
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -209,11 +209,11 @@
 
 // evaluate returns whether a run may be sent to the agent. It may be sent to wait there, so that freed
 // capacity is used immediately and the agent, which starts runs by priority, can choose between entries,
-// but not if a run of this entry with the same or a more urgent priority already waits there. A run
+// but not if as many runs of this entry with the same or a more urgent priority wait there as may. A run
 // whose predicted wait exceeds the limit for its priority is not sent.
 func (m *Machine) evaluate(a *agent, need job.Resources, priority int) placementOption {
 	free := job.Difference(a.state.Free, m.outstandingNeed(a))
-	// mayNotWait is set if a run of this entry with the same or a more urgent priority already waits there. A
+	// mayNotWait is set if no further run of this entry with the priority may wait there. A
 	// component of free is negative if more was ordered than the agent has free; the excess, of whatever
 	// priority, then waits there.
 	mayNotWait := !free.Covers(job.Resources{})
