Refuse what was ordered before a pause, and announcements older than a leave

Causes, from the list of failures of similar systems: - An agent that was paused read an order that had waited in its connection. Its entry may have counted the run as lost (2.1 s after the session) and ordered the next one elsewhere; the agent started the run and stopped it in its next step. - An entry that was paused for more than 900 ms learned that agents had stopped its runs, and ordered them again, before the check of connections (every 100 ms) noticed that the caller had disconnected. After 1.3 s the caller resubmits the job to another entry, so two runs of a task were in progress. - An entry ran a job whose caller had disconnected before the request was read; the check came 100 ms later. - A worker's announcement that arrived after the worker had left put it in use again, because only the sequence number of present workers was compared.

Change: an agent refuses orders of an entry that has not replied to a poll for 900 ms. An entry orders nothing for jobs from before a pause for 150 ms. Announcements are compared with the last one of the same incarnation, present or not.

--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -177,7 +177,7 @@
 		if m.records[id] != nil {
 			continue
 		}
-		if reason := m.refusalReason(now, id, order); reason != 0 {
+		if reason := m.refusalReason(now, o, id, order); reason != 0 {
 			m.stats.count(run.Refused)
 			o.pendingEnds = append(o.pendingEnds, run.End{ID: id, Outcome: run.Refused, Reason: reason})
 			continue
@@ -192,11 +192,14 @@
 	}
 }
 
-func (m *Machine) refusalReason(now time.Duration, id run.ID, order *wire.RunOrder) run.Reason {
+func (m *Machine) refusalReason(now time.Duration, o *owner, id run.ID, order *wire.RunOrder) run.Reason {
 	earlier := m.startedByTask[id.Task]
 	switch {
 	case !m.acceptsStarts(now) || order.Service != m.worker.service:
 		return run.Closed
+	// An order that waited in the connection while this process was paused: the entry may count its runs as lost.
+	case now >= o.expiresAt:
+		return run.Closed
 	// The first condition is true if a component of the need is negative.
 	case !order.Need.Covers(job.Resources{}) || !m.worker.capacity.Covers(order.Need):
 		return run.Unfit
--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -25,6 +25,7 @@
 	orders  map[runner.EntryID]uint64
 	poll    runner.Renew // the pending long poll
 	polling bool
+	silent  bool // entries do not reply to polls
 }
 
 func newFleet(entries int, runTime time.Duration) *fleet {
@@ -50,7 +51,7 @@
 	for _, action := range f.machine.Step(f.now, event) {
 		switch a := action.(type) {
 		case runner.Send:
-			if poll, ok := a.Message.(*wire.OwnerPoll); ok {
+			if poll, ok := a.Message.(*wire.OwnerPoll); ok && !f.silent {
 				responses = append(responses, func() { f.step(runner.Received{Entry: a.Entry, Message: &wire.OwnerGrant{Sent: poll.Sent}}) })
 			}
 			f.received(a)
@@ -273,3 +274,44 @@
 		gomega.Expect(maySendMore(f.entries[0])).To(gomega.BeFalse(), "two of its runs wait")
 	})
 })
+
+var _ = ginkgo.Describe("an agent that was paused", func() {
+	// Guards against a start by an order that waited in the connection while the agent's process was paused: its entry
+	// has counted the run as lost meanwhile and may have ordered the next one from another agent. The worker's report is
+	// read before the order, so the worker does not count as silent.
+	ginkgo.It("refuses orders of an entry that has not replied since", func() {
+		f := newFleet(1, time.Minute)
+		f.silent = true
+		f.now += 6 * time.Second
+		f.renew(f.poll)
+		f.order(f.entries[0], "ordered before the pause")
+		gomega.Expect(f.machine.Stats().Starts).To(gomega.BeZero())
+		gomega.Expect(f.ends[f.entries[0]]).To(gomega.Equal(1), "the refusal is reported")
+
+		f.silent = false
+		f.advance(runner.PollInterval)
+		f.order(f.entries[0], "ordered after a reply")
+		gomega.Expect(f.worker.Running).To(gomega.HaveLen(1))
+	})
+})
+
+var _ = ginkgo.Describe("a worker that has left", func() {
+	// Guards against an announcement that was delayed on its way and puts the worker in use again after it has left.
+	ginkgo.It("is not in use again by an earlier announcement", func() {
+		f := newFleet(1, time.Second)
+		announcement := runner.WorkerAnnounced{Worker: f.worker.ID, Sequence: 7, Service: "s", Capacity: job.Resources{MilliProcessors: 64000}}
+		f.step(announcement)
+		f.advance(10 * time.Millisecond)
+		gomega.Expect(f.machine.Open(f.now)).To(gomega.BeTrue())
+		f.step(runner.WorkerLeft{ID: f.worker.ID.ID})
+		announcement.Sequence = 6
+		f.step(announcement)
+		f.advance(10 * time.Millisecond)
+		gomega.Expect(f.machine.Open(f.now)).To(gomega.BeFalse())
+
+		announcement.Sequence = 8
+		f.step(announcement)
+		f.advance(10 * time.Millisecond)
+		gomega.Expect(f.machine.Open(f.now)).To(gomega.BeTrue(), "it has not ended after all")
+	})
+})
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -54,8 +54,8 @@
 // one may still be alive.
 func (m *Machine) workerAnnounced(now time.Duration, e WorkerAnnounced) {
 	w := &m.worker
-	if w.present && w.id == e.Worker && e.Sequence <= w.sequence {
-		return // a later announcement was processed already
+	if w.id == e.Worker && e.Sequence <= w.sequence {
+		return // a later announcement was processed already; the worker may have left since
 	}
 	if w.present && w.id != e.Worker && (e.Worker.Born < w.id.Born || m.mayStillBeAlive(now, e.Worker)) {
 		return
--- a/internal/request/scheduler/cluster_test.go
+++ b/internal/request/scheduler/cluster_test.go
@@ -46,6 +46,9 @@
 	connected map[string]bool
 	session   map[string]int // number of the last session with each agent
 	dead      bool
+	// While the process is paused, its events wait.
+	pausedUntil time.Duration
+	backlog     []scheduler.Event
 }
 
 // timedAction is executed at a simulated time.
@@ -75,6 +78,7 @@
 	failingJobs     map[string]bool
 	startedRuns     map[string]int // runs started by workers, by job
 	records         map[string]*jobRecord
+	resubmitted     map[string]bool                    // jobs that were submitted to several entries, each of which may give a verdict
 	orderedRuns     map[string]int                     // runs reported as ordered by entries, by job
 	eligibility     map[string][]scheduler.Eligibility // eligibility changes reported by entries, by agent
 	allRecords      []*jobRecord
@@ -87,7 +91,7 @@
 func newCluster(entries, agents int) *cluster {
 	c := &cluster{
 		now: time.Hour, meanNeed: defaultNeed, random: rand.New(rand.NewPCG(20261204, 3)), actual: map[run.TaskID]time.Duration{}, failingJobs: map[string]bool{},
-		startedRuns: map[string]int{}, records: map[string]*jobRecord{},
+		startedRuns: map[string]int{}, records: map[string]*jobRecord{}, resubmitted: map[string]bool{},
 		orderedRuns: map[string]int{}, eligibility: map[string][]scheduler.Eligibility{},
 	}
 	for k := range agents {
@@ -301,6 +305,10 @@
 }
 
 func (c *cluster) stepEntry(e *entryProcess, event scheduler.Event) {
+	if c.now < e.pausedUntil {
+		e.backlog = append(e.backlog, event)
+		return
+	}
 	entry := e.id
 	for _, action := range e.machine.Step(c.now, event) {
 		switch a := action.(type) {
@@ -331,6 +339,12 @@
 
 func (c *cluster) checkVerdict(d scheduler.Decided) {
 	record := c.records[d.Job]
+	if c.resubmitted[d.Job] {
+		if d.Verdict == scheduler.Completed {
+			record.Decided, record.decidedAt = d, c.now
+		}
+		return
+	}
 	if record == nil || record.decidedAt != 0 {
 		ginkgo.Fail("verdict on an unknown or already decided job " + d.Job)
 	}
@@ -360,6 +374,13 @@
 			c.tickNode(n)
 		}
 		for _, e := range c.entries {
+			if c.now < e.pausedUntil {
+				continue
+			}
+			for _, event := range e.backlog {
+				c.stepEntry(e, event)
+			}
+			e.backlog = nil
 			if wake, ok := e.machine.NextWake(); ok && wake <= c.now && !e.dead {
 				c.stepEntry(e, scheduler.Tick{})
 			}
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/request/runner"
 )
 
 // Config holds the settings of a machine. A QueueLimit that is not positive is replaced by
@@ -30,6 +31,15 @@
 // second; an entry on a small VM accepts far fewer jobs in that time.
 const DefaultQueueLimit = 4096
 
+const (
+	// pauseThreshold is the time without a step, while a job is open, from which this process counts as having been
+	// paused: agents have stopped its runs, and callers may have resubmitted their jobs to other entries.
+	pauseThreshold = runner.OwnerTimeout
+	// callerCheckTime is the time after a pause in which disconnected callers are reported. It exceeds the interval at
+	// which the connections of waiting callers are checked (100 ms).
+	callerCheckTime = 150 * time.Millisecond
+)
+
 // Machine is the state machine. It performs no I/O and reads no clock.
 type Machine struct {
 	config    Config
@@ -48,6 +58,9 @@
 	meanRunTime       time.Duration // moving average over all queues; zero before the first run
 	arrival           uint64
 	nextCheckAt       time.Duration // when checkJobs is next due; zero if never
+	// After a pause of this process, the jobs up to heldArrival get no runs until heldUntil.
+	heldArrival uint64
+	heldUntil   time.Duration
 	// nextReportAt is when eligibility changes may be reported next.
 	nextReportAt time.Duration
 
@@ -73,6 +86,7 @@
 func (m *Machine) Step(now time.Duration, event Event) []Action {
 	clear(m.actions)
 	m.actions = m.actions[:0]
+	m.holdJobsAfterPause(now)
 	m.now = now
 	if m.firstStep == 0 {
 		m.firstStep = now
@@ -104,6 +118,19 @@
 	return m.actions
 }
 
+// holdJobsAfterPause holds the open jobs back if this process was paused. Open jobs are checked every checkInterval, so
+// without a pause steps are never that far apart.
+func (m *Machine) holdJobsAfterPause(now time.Duration) {
+	if len(m.jobs) > 0 && now-m.now >= pauseThreshold {
+		m.heldArrival, m.heldUntil = m.arrival, now+callerCheckTime
+	}
+}
+
+// held reports whether the job gets no runs because its caller may have resubmitted it during a pause.
+func (m *Machine) held(now time.Duration, j *jobState) bool {
+	return j.arrival <= m.heldArrival && now < m.heldUntil
+}
+
 func (m *Machine) emit(action Action) { m.actions = append(m.actions, action) }
 
 func (m *Machine) setZonesOutOfService(out []string) {
@@ -145,6 +172,7 @@
 		}
 	}
 	consider(m.nextCheckAt)
+	consider(m.heldUntil)
 	for _, a := range m.sortedAgents {
 		consider(a.lossDeadline)
 		if a.connected {
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -41,7 +41,9 @@
 	for i := 0; i < len(m.waiting); {
 		j := m.waiting[i]
 		started := j.started()
-		m.placeJob(now, j, &blocked)
+		if !m.held(now, j) {
+			m.placeJob(now, j, &blocked)
+		}
 		switch {
 		case j.unplacedTasks == 0:
 			m.waiting = slices.Delete(m.waiting, i, i+1)
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -381,6 +381,37 @@
 		gomega.Expect(c.records[s.ID].Verdict).To(gomega.Equal(scheduler.Completed))
 	})
 
+	// Guards against two simultaneous runs of a task after an entry was paused: agents have stopped its runs, the caller
+	// has disconnected and resubmitted the job to another entry, and the entry learns of the former before the latter.
+	ginkgo.It("is not run again by an entry that was paused until it knows which callers are left", func() {
+		for seed := range uint64(5) {
+			c := newCluster(2, 6)
+			c.random = rand.New(rand.NewPCG(20261205, seed))
+			s := c.submission(jobClasses[1])
+			s.Wait = 10 * time.Second
+			c.submit(c.entries[0], s)
+			c.resubmitted[s.ID] = true
+			c.advance(100 * time.Millisecond)
+			c.entries[0].pausedUntil = c.now + 1500*time.Millisecond
+			c.after(1300*time.Millisecond, func() { c.submit(c.entries[1], s) })
+			c.after(1600*time.Millisecond, func() { c.stepEntry(c.entries[0], scheduler.Cancelled{Job: s.ID}) }) // the check of connections
+			c.advance(10 * time.Second)
+			gomega.Expect(c.records[s.ID].Verdict).To(gomega.Equal(scheduler.Completed))
+		}
+	})
+
+	// Guards against callers that wait in vain after their entry was paused.
+	ginkgo.It("is run again by an entry that was paused while its caller waits", func() {
+		c := newCluster(1, 6)
+		s := c.submission(jobClasses[1])
+		s.Wait = 10 * time.Second
+		c.submit(c.entries[0], s)
+		c.advance(100 * time.Millisecond)
+		c.entries[0].pausedUntil = c.now + 1500*time.Millisecond
+		c.advance(1500*time.Millisecond + 4*time.Second)
+		gomega.Expect(c.records[s.ID].Verdict).To(gomega.Equal(scheduler.Completed))
+	})
+
 	// Guards against starts in a zone that operators have taken out of service.
 	ginkgo.It("gets no run in a zone that is out of service", func() {
 		c := newCluster(1, 3)
