End one request, session or call by a panic, not its process

Cause: no goroutine recovered from a panic, so a fault in the handling of one HTTP request, one message or one call ended the process with everything that it had in progress. No such fault is known; the list of failures of similar systems names it.

Change: HTTP handlers respond with 500 and "may have been carried out" and close the connection, a session ends, a call to the worker counts as unanswered and one to the upstream as one that may have run. The place is logged as event 1005. The event loops still end the process: their state is unknown after a panic.

--- a/internal/connection/session/handshake.go
+++ b/internal/connection/session/handshake.go
@@ -59,6 +59,8 @@
 	AckTimeout time.Duration
 	// OnRejected, if set, is called if the handshake of an accepted connection fails.
 	OnRejected func(remote string, err error)
+	// OnFault, if set, is called with the error of a session that ended by a panic in its goroutines.
+	OnFault func(err error)
 
 	accepted *sessionTable
 }
@@ -115,10 +117,19 @@
 			return
 		}
 		defer c.registerAccepted(s)()
-		_ = s.run(ctx, c.Handler)
+		_ = c.run(ctx, s)
 	})
 }
 
+// run serves the session until it ends and reports a fault.
+func (c *Connector) run(ctx context.Context, s *Session) error {
+	err := s.run(ctx, c.Handler)
+	if c.OnFault != nil && failure.IsFault(err) {
+		c.OnFault(err)
+	}
+	return err
+}
+
 // registerAccepted registers an accepted session, ends the earlier session of the same peer and
 // returns the function that removes the registration.
 func (c *Connector) registerAccepted(s *Session) (remove func()) {
@@ -167,7 +178,7 @@
 		return err
 	}
 	s.dialedAddress = address
-	return s.run(ctx, c.Handler)
+	return c.run(ctx, s)
 }
 
 func (c *Connector) netDialer() *net.Dialer {
@@ -184,7 +195,8 @@
 	return dialer
 }
 
-func (c *Connector) acceptHandshake(conn *websocket.Conn) (*Session, error) {
+func (c *Connector) acceptHandshake(conn *websocket.Conn) (_ *Session, err error) {
+	defer failure.RecoverFault(&err)
 	conn.SetReadLimit(maxHandshakeBytes)
 	nonce := newNonce()
 	if err := writeMessage(conn, &wire.Challenge{Nonce: nonce}); err != nil {
--- a/internal/connection/session/session.go
+++ b/internal/connection/session/session.go
@@ -160,8 +160,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, s.abort)
 	defer stop()
-	group.Go(func() error { return s.writeLoop(ctx) })
-	group.Go(func() error { return s.readLoop(handler) })
+	group.Go(func() (err error) {
+		defer failure.RecoverFault(&err)
+		return s.writeLoop(ctx)
+	})
+	group.Go(func() (err error) {
+		defer failure.RecoverFault(&err)
+		return s.readLoop(handler)
+	})
 	err := group.Wait()
 	s.outgoing.Close()
 	s.abort()
--- a/internal/connection/session/session_test.go
+++ b/internal/connection/session/session_test.go
@@ -283,6 +283,21 @@
 		gomega.Expect(received).To(gomega.Equal(2000))
 	})
 
+	// Guards against a message that ends the process of its receiver by a fault in its handling.
+	ginkgo.It("ends without its process when the handling of a message panics", func() {
+		f := newFixture()
+		faults := make(chan error, 1)
+		f.acceptor.OnFault = func(err error) { faults <- err }
+		f.acceptEvents.reply = func(*Session, []wire.Message) { panic("unexpected message") }
+		dialed, _ := f.connect()
+		gomega.Expect(dialed.Send(&wire.Load{Free: 1})).To(gomega.BeTrue())
+		gomega.Expect(f.acceptEvents.firstCloseError()).To(gomega.MatchError(gomega.ContainSubstring("unexpected message")))
+		gomega.Eventually(faults).Should(gomega.Receive())
+		gomega.Expect(f.dialEvents.firstCloseError()).To(gomega.HaveOccurred())
+		go func() { _ = f.dialer.Dial(context.Background(), f.address, wire.RoleEntry) }()
+		f.acceptEvents.session(1)
+	})
+
 	// Guards against a batch that exceeds the peer's frame limit: a small message and one that nearly fills a frame
 	// are queued before the session sends anything.
 	ginkgo.It("splits a batch that exceeds the frame limit", func() {
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -102,12 +102,12 @@
 		sessions: map[startgate.EntryID]*session.Session{}, retiring: map[*session.Session]struct{}{}, runner: runner.New(runner.Config{Token: config.Token}),
 	}
 	a.ready.Store(&readiness{})
-	a.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: a}
+	a.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: a, OnFault: logging.LogFaults(config.Logger)}
 	a.dialers.byAddress = map[string]*dialer{}
 	a.loop = loop.New(eventQueueLimit, a.handle, a.wake)
-	a.pool = newClientPool(config.Platform, func(e startgate.CallEnded) { a.loop.Post(e) }, a.platformFailed)
+	a.pool = newClientPool(config.Platform, func(e startgate.CallEnded) { a.loop.Post(e) }, a.platformFailed, logging.LogFaults(config.Logger))
 	a.feed = &configfeed.Client{
-		Connector: session.Connector{Local: config.Identity, Key: config.Key},
+		Connector: session.Connector{Local: config.Identity, Key: config.Key, OnFault: logging.LogFaults(config.Logger)},
 		Seeds:     config.Seeds, Subscriber: a, Logger: config.Logger,
 	}
 	if config.Registry != nil {
--- a/internal/process/agent/agent_test.go
+++ b/internal/process/agent/agent_test.go
@@ -355,7 +355,7 @@
 		_ = fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(bytes.Repeat([]byte("x"), 200)) })
 	}()
 	ended := make(chan startgate.CallEnded, 1)
-	pool := newClientPool(workerhost.Platform(nil), func(e startgate.CallEnded) { ended <- e }, nil)
+	pool := newClientPool(workerhost.Platform(nil), func(e startgate.CallEnded) { ended <- e }, nil, nil)
 	pool.setTarget(listener.Addr().String())
 	call := startgate.Call{ID: startID(1), NotAfter: 1 << 62, Task: job.Task{Method: "POST", Path: "/", Body: []byte(strings.Repeat("x", 200))}}
 	b.ReportAllocs()
--- a/internal/process/agent/client.go
+++ b/internal/process/agent/client.go
@@ -85,12 +85,24 @@
 
 func (c *upstreamClient) run() {
 	for call := range c.calls {
-		ended := c.call(call)
+		ended, err := c.protectedCall(call)
+		if err != nil {
+			c.pool.reportFault(err)
+			ended = startgate.CallEnded{ID: call.ID, Result: job.Result{
+				State: job.MayHaveRun, FailureKind: failure.MayHaveRun, Message: "the call to the upstream ended by an unexpected fault",
+			}}
+		}
 		c.pool.release(c, call.ID)
 		c.pool.ended(ended)
 	}
 }
 
+// protectedCall is like call. The error stands for a fault.
+func (c *upstreamClient) protectedCall(call startgate.Call) (ended startgate.CallEnded, err error) {
+	defer failure.RecoverFault(&err)
+	return c.call(call), nil
+}
+
 func (c *upstreamClient) call(call startgate.Call) startgate.CallEnded {
 	ended := startgate.CallEnded{ID: call.ID, NotSent: true}
 	if clock.SinceBoot() >= call.NotAfter {
--- a/internal/process/agent/pool.go
+++ b/internal/process/agent/pool.go
@@ -20,6 +20,7 @@
 	platform       workerhost.Platform // nil if there is none
 	ended          func(startgate.CallEnded)
 	platformFailed func(operation string, err error)
+	reportFault    func(error)
 
 	mu         sync.Mutex
 	address    string // of the upstream
@@ -33,8 +34,8 @@
 	call   startgate.Call
 }
 
-func newClientPool(p workerhost.Platform, ended func(startgate.CallEnded), platformFailed func(string, error)) *clientPool {
-	return &clientPool{platform: p, ended: ended, platformFailed: platformFailed, inProgress: map[wire.StartID]callInProgress{}}
+func newClientPool(p workerhost.Platform, ended func(startgate.CallEnded), platformFailed func(string, error), reportFault func(error)) *clientPool {
+	return &clientPool{platform: p, ended: ended, platformFailed: platformFailed, reportFault: reportFault, inProgress: map[wire.StartID]callInProgress{}}
 }
 
 // platformTaskID returns the id of a start at the worker platform.
--- a/internal/process/agent/runs.go
+++ b/internal/process/agent/runs.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"pollenpaddle/internal/clock"
+	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/runner"
 	"pollenpaddle/internal/request/startgate"
@@ -57,17 +58,42 @@
 	worker := a.config.Worker
 	ctx, cancel := context.WithTimeout(context.Background(), runner.CallTimeout(action))
 	defer cancel()
-	sent := clock.SinceBoot()
+	returned, err := makeCall(ctx, worker, action)
+	if err != nil {
+		logging.Log(a.config.Logger, logging.UnexpectedFault, zap.Error(err))
+		returned = unansweredCall(action)
+	}
+	a.loop.Post(returned)
+}
+
+// makeCall makes one call to the worker. The error stands for a fault.
+func makeCall(ctx context.Context, worker Worker, action runner.Action) (returned runner.Event, err error) {
+	defer failure.RecoverFault(&err)
+	switch call := action.(type) {
+	case runner.Start:
+		return worker.Start(ctx, call), nil
+	case runner.Stop:
+		return worker.Stop(ctx, call), nil
+	case runner.Renew:
+		sent := clock.SinceBoot()
+		renewed := worker.Renew(ctx, call)
+		renewed.Sent, renewed.OutOfBand = sent, call.OutOfBand
+		return renewed, nil
+	}
+	return runner.Tick{}, nil
+}
+
+// unansweredCall returns the outcome of a call that the worker may carry out, now or later.
+func unansweredCall(action runner.Action) runner.Event {
 	switch call := action.(type) {
 	case runner.Start:
-		a.loop.Post(worker.Start(ctx, call))
+		return runner.StartReturned{Worker: call.Worker, Run: call.Run, Token: call.Token, Result: runner.NoResponse}
 	case runner.Stop:
-		a.loop.Post(worker.Stop(ctx, call))
+		return runner.StopReturned{Worker: call.Worker, Run: call.Run, Token: call.Token, Result: runner.NoResponse}
 	case runner.Renew:
-		returned := worker.Renew(ctx, call)
-		returned.Sent, returned.OutOfBand = sent, call.OutOfBand
-		a.loop.Post(returned)
+		return runner.Renewed{Worker: call.Worker, Sent: clock.SinceBoot(), OutOfBand: call.OutOfBand, Token: call.Token, Result: runner.NoResponse}
 	}
+	return runner.Tick{}
 }
 
 // logWorker logs returned stop calls, failed start and renew calls, the withdrawal of the worker, and
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -96,7 +96,7 @@
 	}
 	s := &Server{config: config, clients: map[*session.Session]*client{}}
 	s.ctx, s.stop = context.WithCancel(context.Background())
-	s.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: s}
+	s.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: s, OnFault: logFaults(config)}
 	s.loop = loop.New(eventQueueLimit, s.handle, s.wake)
 	s.store = newStore(s.configurationChanged)
 	s.links = newLinks(s.ctx, config)
--- a/internal/process/control/links.go
+++ b/internal/process/control/links.go
@@ -10,6 +10,7 @@
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
+	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/version/replication"
 )
 
@@ -94,9 +95,17 @@
 	return messages
 }
 
+// logFaults returns the function that logs faults, or nil without a logger.
+func logFaults(config Config) func(error) {
+	if config.Logger == nil {
+		return nil
+	}
+	return logging.LogFaults(config.Logger)
+}
+
 func newLinks(ctx context.Context, config Config) *links {
 	l := &links{
-		ctx: ctx, connector: session.Connector{Local: config.Identity, Key: config.Key},
+		ctx: ctx, connector: session.Connector{Local: config.Identity, Key: config.Key, OnFault: logFaults(config)},
 		addresses: map[string]string{}, links: map[string]*link{},
 	}
 	for _, peer := range config.Peers {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -61,7 +61,7 @@
 		return failure.New(failure.Unavailable, "choose another address in listen or stop the process that uses it", "cannot listen on %s: %v", d.Listen, err)
 	}
 	server := &fasthttp.Server{
-		Name: "pollenpaddle", Handler: d.handler(), MaxRequestBodySize: d.MaxBodyBytes,
+		Name: "pollenpaddle", Handler: httpapi.RecoverFaults(d.handler(), logging.LogFaults(d.Logger)), MaxRequestBodySize: d.MaxBodyBytes,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: requestTimeout, WriteTimeout: responseTimeout, IdleTimeout: idleTimeout,
 		CloseOnShutdown: true, NoDefaultServerHeader: true, ErrorHandler: d.rejectRequest,
 	}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -163,10 +163,10 @@
 		retryAfter: map[job.Key]time.Duration{}, restartable: newRestartableJobs(config.Identity),
 	}
 	e.sessionCtx, e.stopSessions = context.WithCancel(context.Background())
-	e.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: e}
+	e.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: e, OnFault: logging.LogFaults(config.Logger)}
 	e.loop = loop.New(eventQueueLimit, e.handle, e.wake)
 	e.feed = &configfeed.Client{
-		Connector: session.Connector{Local: config.Identity, Key: config.Key}, Seeds: config.Seeds, Subscriber: e,
+		Connector: session.Connector{Local: config.Identity, Key: config.Key, OnFault: logging.LogFaults(config.Logger)}, Seeds: config.Seeds, Subscriber: e,
 		Logger: config.Logger,
 	}
 	e.metrics = newMetrics(e)
--- a/internal/process/httpapi/httpapi.go
+++ b/internal/process/httpapi/httpapi.go
@@ -40,6 +40,27 @@
 // defaultRetryAfter is sent with 429 and 503 if the error has no RetryAfter.
 const defaultRetryAfter = time.Second
 
+// RecoverFaults returns a handler that responds with an error and closes the connection if handler panics, and passes the
+// error to report.
+func RecoverFaults(handler fasthttp.RequestHandler, report func(error)) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		err := runHandler(handler, ctx)
+		if err == nil {
+			return
+		}
+		report(err)
+		ctx.Response.Reset()
+		ctx.SetConnectionClose()
+		WriteError(ctx, failure.New(failure.Internal, "report this as a bug; query the object before you repeat the request", "the request ended by an unexpected fault and may have been carried out"))
+	}
+}
+
+func runHandler(handler fasthttp.RequestHandler, ctx *fasthttp.RequestCtx) (err error) {
+	defer failure.RecoverFault(&err)
+	handler(ctx)
+	return nil
+}
+
 // WriteError responds with the JSON representation of err and the HTTP status of its kind.
 func WriteError(ctx *fasthttp.RequestCtx, err error) {
 	body := ErrorBody{Kind: failure.KindOf(err), Message: err.Error()}
--- a/internal/process/logging/event.go
+++ b/internal/process/logging/event.go
@@ -39,6 +39,11 @@
 	return events
 }
 
+// LogFaults returns a function that logs the error of a fault (failure.RecoverFault).
+func LogFaults(logger *zap.Logger) func(error) {
+	return func(err error) { Log(logger, UnexpectedFault, zap.Error(err)) }
+}
+
 // Log writes an event with its fields.
 func Log(logger *zap.Logger, e Event, fields ...zap.Field) {
 	if checked := logger.Check(e.Level, e.Message); checked != nil {
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -12,6 +12,8 @@
 		"The process exits. Without the field error, all work is finished and all connections are closed; with it, work may be unfinished.")
 	LoopbackOnly = define(1004, zapcore.WarnLevel, "authentication not configured: listening on loopback only",
 		"Set token_file and key_file in the section [process] to accept connections from other machines.")
+	UnexpectedFault = define(1005, zapcore.ErrorLevel, "unexpected fault",
+		"One request, session or call ended by a programming fault, whose place the field error names; others are not affected. The request or call may have been carried out. Report it as a bug.")
 )
 
 // Events of the settings file: 1010 to 1019.
