Share the speeds of workers between entries through their agents

Each of many entries sees few runs of a worker, and forgets what it has learned at a restart, so this comes back after each loss of power and rolling restart.

Ruled out: a smaller prior in each entry.

Change: an order tells the agent the predicted run time, the agent learns the speed of its worker from the runs of all entries and sends it to them. The messages are optional (wire.FeatureSpeeds).

--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -49,7 +49,7 @@
 }
 
 // Pong names the optional messages that the sender understands; any other message of a type that the receiver
-// does not know ends the session. Entries send it to each other first. Releases without optional messages ignore
+// does not know ends the session. Entries and agents send it first. Releases without optional messages ignore
 // it.
 type Pong struct {
 	_        struct{} `cbor:",toarray"`
@@ -59,8 +59,13 @@
 // Feature is a set of optional messages.
 type Feature uint64
 
-// FeatureCapacities means that the sender understands Capacities.
-const FeatureCapacities Feature = 1 << 0
+// The optional messages.
+const (
+	// FeatureCapacities means that the sender understands Capacities.
+	FeatureCapacities Feature = 1 << 0
+	// FeatureSpeeds means that the sender, an agent, understands TimedOrder, or, an entry, WorkerSpeed.
+	FeatureSpeeds Feature = 1 << 1
+)
 
 // Closing reports that the sender is draining and accepts no new work. It does not close the
 // session.
--- a/internal/connection/wire/run.go
+++ b/internal/connection/wire/run.go
@@ -18,6 +18,8 @@
 	TypeOwnerGrant   Type = 76
 	TypeJobCancel    Type = 77
 	TypeCapacities   Type = 78
+	TypeTimedOrder   Type = 79
+	TypeWorkerSpeed  Type = 80
 )
 
 // RunOrder asks an agent to run tasks of one restartable job; to order a run is to request it in
@@ -34,6 +36,22 @@
 	Tasks    []OrderedTask
 }
 
+// TimedOrder is a RunOrder with the run time that the entry predicts for its tasks. It is sent only to agents with
+// FeatureSpeeds.
+type TimedOrder struct {
+	_         struct{} `cbor:",toarray"`
+	Order     RunOrder
+	Predicted time.Duration // of each task, on a worker of mean speed
+}
+
+// WorkerSpeed tells an entry how fast the worker of the sender is, from the runs of all entries. It is sent only to
+// entries with FeatureSpeeds.
+type WorkerSpeed struct {
+	_        struct{} `cbor:",toarray"`
+	Slowness float64  // natural logarithm of the run time relative to the prediction
+	Samples  int      // runs on which it is based
+}
+
 // OrderedTask requests one run of a task.
 type OrderedTask struct {
 	_      struct{} `cbor:",toarray"`
@@ -132,6 +150,8 @@
 func (*OwnerGrant) MessageType() Type   { return TypeOwnerGrant }
 func (*JobCancel) MessageType() Type    { return TypeJobCancel }
 func (*Capacities) MessageType() Type   { return TypeCapacities }
+func (*TimedOrder) MessageType() Type   { return TypeTimedOrder }
+func (*WorkerSpeed) MessageType() Type  { return TypeWorkerSpeed }
 
 var _ = register(map[Type]func() Message{
 	TypeRunOrder:     func() Message { return new(RunOrder) },
@@ -143,4 +163,6 @@
 	TypeOwnerGrant:   func() Message { return new(OwnerGrant) },
 	TypeJobCancel:    func() Message { return new(JobCancel) },
 	TypeCapacities:   func() Message { return new(Capacities) },
+	TypeTimedOrder:   func() Message { return new(TimedOrder) },
+	TypeWorkerSpeed:  func() Message { return new(WorkerSpeed) },
 })
--- a/internal/process/agent/runs.go
+++ b/internal/process/agent/runs.go
@@ -6,6 +6,8 @@
 	"go.uber.org/zap"
 
 	"pollenpaddle/internal/clock"
+	"pollenpaddle/internal/connection/session"
+	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/runner"
@@ -41,7 +43,7 @@
 	for _, action := range a.runner.Step(clock.SinceBoot(), event) {
 		switch action := action.(type) {
 		case runner.Send:
-			if s := a.sessions[startgate.EntryID(action.Entry)]; s != nil {
+			if s := a.sessions[startgate.EntryID(action.Entry)]; s != nil && understands(s, action.Message) {
 				s.Send(action.Message)
 			}
 		default:
@@ -52,6 +54,12 @@
 	}
 }
 
+// understands reports whether the entry at the other end of the session understands the message.
+func understands(s *session.Session, message wire.Message) bool {
+	_, optional := message.(*wire.WorkerSpeed)
+	return !optional || s.Supports(wire.FeatureSpeeds)
+}
+
 // callWorker makes one call to the worker. For one incarnation of the worker, the runner bounds the concurrent
 // start calls by the runs that fit on it; stops and at most two renewals come on top.
 func (a *Agent) callWorker(action runner.Action) {
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -46,6 +46,7 @@
 	switch s.Peer().Role {
 	case wire.RoleAgent:
 		e.agents[agentOf(s)] = s
+		s.Send(&wire.Pong{Features: wire.FeatureSpeeds})
 		e.step(dispatch.AgentConnected{Agent: agentOf(s), AvailabilityZone: s.Peer().AvailabilityZone})
 		e.stepScheduler(scheduler.AgentConnected{Agent: scheduler.AgentID(agentOf(s)), AvailabilityZone: s.Peer().AvailabilityZone})
 	case wire.RoleEntry:
--- a/internal/process/entry/restartable.go
+++ b/internal/process/entry/restartable.go
@@ -207,7 +207,7 @@
 	switch a := action.(type) {
 	case scheduler.Send:
 		if s := e.agents[dispatch.AgentID(a.Agent)]; s != nil {
-			s.Send(a.Message)
+			s.Send(supportedOrder(s, a.Message))
 		}
 	case scheduler.Decided:
 		e.restartableDecided(a)
@@ -220,6 +220,14 @@
 	}
 }
 
+// supportedOrder returns the message, or the plain order for an agent that does not understand wire.TimedOrder.
+func supportedOrder(s *session.Session, message wire.Message) wire.Message {
+	if timed, ok := message.(*wire.TimedOrder); ok && !s.Supports(wire.FeatureSpeeds) {
+		return &timed.Order
+	}
+	return message
+}
+
 func (e *Entry) restartableDecided(d scheduler.Decided) {
 	e.logVerdict(d)
 	e.metrics.restartableJobs.WithLabelValues(d.Verdict.String()).Inc()
@@ -336,7 +344,7 @@
 // receiveRunMessage passes a message about runs to the scheduler. It returns false for other messages.
 func (e *Entry) receiveRunMessage(from scheduler.AgentID, message wire.Message) bool {
 	switch message.(type) {
-	case *wire.OwnerPoll, *wire.RunInventory, *wire.WorkerState, *wire.RunEnds:
+	case *wire.OwnerPoll, *wire.RunInventory, *wire.WorkerState, *wire.WorkerSpeed, *wire.RunEnds:
 		e.stepScheduler(scheduler.AgentMessage{Agent: from, Message: message})
 		return true
 	}
--- a/internal/request/estimate/estimate.go
+++ b/internal/request/estimate/estimate.go
@@ -18,6 +18,12 @@
 	// rate and without clipping, an estimate follows 95% of a change within about 100 samples of the
 	// class.
 	minDistributionStep = 0.03
+	// slownessPriorSamples and ratioPriorSamples are the numbers of samples for which the assumption counts that an agent
+	// has mean speed: in Observe, which learns the distribution from the same samples, and in ObserveRatio. The logarithms
+	// of the speeds of workers (2 to 1, 4 to 1) vary about as much as those of a single run time whose declared value is
+	// off by 40%.
+	slownessPriorSamples = 8
+	ratioPriorSamples    = 1
 	// minSlownessStep is the lower bound of the learning rate of an agent's slowness. At this
 	// rate and without clipping, an estimate follows 40% of a change within about 50 samples of the
 	// agent.
@@ -29,6 +35,8 @@
 	// slownessDecay shrinks the slowness factors towards one. Only the product of run time and slowness
 	// is observed, so a common factor could otherwise drift between the distributions and the agents.
 	slownessDecay = 0.0005
+	// maxRatioResidual bounds the residual of one ratio: clipDeviations times the usual error of declared run times.
+	maxRatioResidual = 1.2
 	// minRunTime keeps logarithms finite.
 	minRunTime = 100 * time.Microsecond
 )
@@ -68,6 +76,33 @@
 // Samples returns the number of observed run times.
 func (s *Slowness) Samples() int { return int(s.samples) }
 
+// Log returns the natural logarithm of Factor.
+func (s *Slowness) Log() float64 { return s.slowness }
+
+// ObserveRatio updates s with the ratio of a run time to the one that was predicted for mean speed.
+func (s *Slowness) ObserveRatio(runTime, predicted time.Duration) {
+	s.samples++
+	residual := toLog(runTime) - toLog(predicted) - s.slowness
+	s.adjust(max(-maxRatioResidual, min(maxRatioResidual, residual)), ratioPriorSamples)
+}
+
+// Adopt replaces s by an estimate that is based on more samples. It returns the change of Log, which is zero if the
+// estimate is not adopted.
+func (s *Slowness) Adopt(log float64, samples int) (change float64) {
+	if math.IsNaN(log) || float64(samples) <= s.samples {
+		return 0
+	}
+	before := s.slowness
+	s.slowness, s.samples = max(-maxSlowness, min(maxSlowness, log)), float64(samples)
+	return s.slowness - before
+}
+
+// adjust moves the estimate towards a clipped residual.
+func (s *Slowness) adjust(residual, priorSamples float64) {
+	s.slowness += max(1/(s.samples+priorSamples), minSlownessStep) * residual
+	s.slowness = max(-maxSlowness, min(maxSlowness, s.slowness*(1-slownessDecay)))
+}
+
 // Samples returns the number of observed run times.
 func (d *Distribution) Samples() int { return int(d.samples) }
 
@@ -133,8 +168,7 @@
 			d.quantiles[i] += quantileStep * level
 		}
 	}
-	s.slowness += max(1/(s.samples+8), minSlownessStep) * clipped
-	s.slowness = max(-maxSlowness, min(maxSlowness, s.slowness*(1-slownessDecay)))
+	s.adjust(clipped, slownessPriorSamples)
 }
 
 func toLog(d time.Duration) float64 { return math.Log(max(d, minRunTime).Seconds()) }
--- a/internal/request/estimate/estimate_test.go
+++ b/internal/request/estimate/estimate_test.go
@@ -116,3 +116,31 @@
 		gomega.Expect(stuck.Factor()).To(gomega.BeNumerically("<=", 16.1))
 	})
 })
+
+var _ = ginkgo.Describe("the speed of an agent from ratios", func() {
+	// Guards against a slow worker that is noticed only after many runs, and against one run that decides alone.
+	ginkgo.It("is known roughly after ten runs and bounded", func() {
+		var slow, outlier estimate.Slowness
+		for _, run := range samples(10, 180*time.Millisecond, 0.3) {
+			slow.ObserveRatio(run, 100*time.Millisecond)
+		}
+		gomega.Expect(slow.Factor()).To(gomega.BeNumerically("~", 1.8, 0.4))
+		outlier.ObserveRatio(time.Hour, time.Millisecond)
+		gomega.Expect(outlier.Factor()).To(gomega.BeNumerically("<", 2))
+		for range 1000 {
+			outlier.ObserveRatio(time.Hour, time.Millisecond)
+		}
+		gomega.Expect(outlier.Factor()).To(gomega.BeNumerically("<=", 16.1))
+	})
+
+	// Guards against a good estimate that is replaced by one from fewer runs, and against values that are no numbers.
+	ginkgo.It("is adopted only with more samples", func() {
+		var s estimate.Slowness
+		gomega.Expect(s.Adopt(0.5, 20)).To(gomega.BeNumerically("~", 0.5))
+		gomega.Expect(s.Adopt(-1, 19)).To(gomega.BeZero())
+		gomega.Expect(s.Adopt(math.NaN(), 1000)).To(gomega.BeZero())
+		gomega.Expect(s.Log()).To(gomega.BeNumerically("~", 0.5))
+		gomega.Expect(s.Adopt(math.Inf(1), 21)).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(s.Factor()).To(gomega.BeNumerically("<=", 16.1))
+	})
+})
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -114,6 +114,7 @@
 	owner         EntryID
 	spec          string
 	need          job.Resources
+	predicted     time.Duration // run time on a worker of mean speed; zero if unknown
 	priority      int
 	arrival       uint64        // order of arrival
 	queueDeadline time.Duration // when the run is refused unless it has started
@@ -307,6 +308,9 @@
 	if outcome == run.Done || outcome == run.Failed {
 		end.RunTime = now - r.startedAt
 	}
+	if outcome == run.Done && r.predicted > 0 {
+		m.worker.speed.ObserveRatio(end.RunTime, r.predicted)
+	}
 	if o := m.owners[r.owner]; o != nil {
 		o.pendingEnds = append(o.pendingEnds, end)
 	}
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -25,6 +25,9 @@
 	activeUntil   time.Duration    // ownerActivePeriod after the last order
 	ordered       int              // runs ordered in the current window of demand
 	waitingLimit  int              // runs of one priority that may wait; zero: one
+	sentSlowness  float64          // as last sent on this session; zero, for mean speed, before
+	nextSpeedAt   time.Duration    // earliest time of the next wire.WorkerSpeed
+	speedSentAt   time.Duration    // time of the last one
 	retired       bool             // the session is to be closed
 	retiredAt     time.Duration
 }
@@ -66,6 +69,7 @@
 	}
 	o.restoreUnconfirmed() // the earlier session may not have been closed
 	o.connected, o.inventorySent, o.stateSent, o.lastOrder, o.retired = true, false, false, 0, false
+	o.sentSlowness, o.nextSpeedAt = 0, now+speedInterval
 	o.expiresAt = max(o.expiresAt, now+OwnerTimeout)
 	o.nextPollAt, o.nextStateAt = now, now
 	m.expireOwners(now)
@@ -151,7 +155,9 @@
 	}
 	switch message := e.Message.(type) {
 	case *wire.RunOrder:
-		m.handleOrder(now, o, message)
+		m.handleOrder(now, o, message, 0)
+	case *wire.TimedOrder:
+		m.handleOrder(now, o, &message.Order, message.Predicted)
 	case *wire.RunCancel:
 		for _, id := range message.Runs {
 			if r := m.records[id]; r != nil && r.owner == o.id {
@@ -166,8 +172,9 @@
 	}
 }
 
-// handleOrder queues or refuses the runs of an order. Those that have a record already are ignored.
-func (m *Machine) handleOrder(now time.Duration, o *owner, order *wire.RunOrder) {
+// handleOrder queues or refuses the runs of an order. Those that have a record already are ignored. predicted is the
+// predicted run time of each task at mean speed; zero if unknown.
+func (m *Machine) handleOrder(now time.Duration, o *owner, order *wire.RunOrder, predicted time.Duration) {
 	o.lastOrder = order.Sequence
 	o.activeUntil = now + ownerActivePeriod
 	m.demand.record(now, m.ownerList, o, len(order.Tasks))
@@ -185,7 +192,7 @@
 		m.arrival++
 		r := &record{
 			id: id, owner: o.id, spec: order.Spec, need: order.Need, priority: order.Priority, arrival: m.arrival,
-			queueDeadline: now + order.MaxWait,
+			queueDeadline: now + order.MaxWait, predicted: predicted,
 		}
 		m.records[id] = r
 		m.enqueue(r)
@@ -254,6 +261,7 @@
 			continue
 		}
 		m.sendState(now, o, m.sendEnds(now, o))
+		m.sendSpeed(now, o)
 	}
 }
 
--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -22,6 +22,7 @@
 	entries []runner.EntryID
 	states  map[runner.EntryID][]wire.WorkerState
 	ends    map[runner.EntryID]int
+	speeds  map[runner.EntryID][]wire.WorkerSpeed
 	orders  map[runner.EntryID]uint64
 	poll    runner.Renew // the pending long poll
 	polling bool
@@ -31,7 +32,7 @@
 func newFleet(entries int, runTime time.Duration) *fleet {
 	f := &fleet{
 		now: time.Hour, machine: runner.New(runner.Config{Token: 1}), worker: simworker.New("w", 1), states: map[runner.EntryID][]wire.WorkerState{},
-		ends: map[runner.EntryID]int{}, orders: map[runner.EntryID]uint64{},
+		ends: map[runner.EntryID]int{}, speeds: map[runner.EntryID][]wire.WorkerSpeed{}, orders: map[runner.EntryID]uint64{},
 	}
 	f.worker.OnStart = func(run.ID) {}
 	f.worker.Plan = func(runner.Start) (time.Duration, run.Outcome) { return runTime, run.Done }
@@ -80,6 +81,8 @@
 	switch m := send.Message.(type) {
 	case *wire.WorkerState:
 		f.states[send.Entry] = append(f.states[send.Entry], *m)
+	case *wire.WorkerSpeed:
+		f.speeds[send.Entry] = append(f.speeds[send.Entry], *m)
 	case *wire.RunEnds:
 		f.ends[send.Entry] += len(m.Ends)
 	}
@@ -315,3 +318,30 @@
 		gomega.Expect(f.machine.Open(f.now)).To(gomega.BeTrue(), "it has not ended after all")
 	})
 })
+
+var _ = ginkgo.Describe("the speed of a worker", func() {
+	// Guards against entries that learn only from their own runs, and against a message for each run.
+	ginkgo.It("is sent to all entries when it has changed, and again after a while", func() {
+		f := newFleet(3, 200*time.Millisecond)
+		for k := range 20 {
+			f.orders[f.entries[0]]++
+			f.step(runner.Received{Entry: f.entries[0], Message: &wire.TimedOrder{
+				Order: wire.RunOrder{
+					Sequence: f.orders[f.entries[0]], Job: fmt.Sprint("job-", k), Service: "s", MaxWait: time.Second,
+					Need: job.Resources{MilliProcessors: 1000}, Tasks: []wire.OrderedTask{{Number: 1}},
+				},
+				Predicted: 100 * time.Millisecond,
+			}})
+			f.advance(50 * time.Millisecond)
+		}
+		f.advance(time.Second)
+		for _, entry := range f.entries {
+			sent := f.speeds[entry]
+			gomega.Expect(len(sent)).To(gomega.And(gomega.BeNumerically(">=", 1), gomega.BeNumerically("<=", 6)))
+			gomega.Expect(sent[len(sent)-1].Slowness).To(gomega.BeNumerically("~", 0.69, 0.15))
+		}
+		before := len(f.speeds[f.entries[2]])
+		f.advance(6 * time.Second)
+		gomega.Expect(f.speeds[f.entries[2]]).To(gomega.HaveLen(before + 1))
+	})
+})
--- a/internal/request/runner/peer_messages_test.go
+++ b/internal/request/runner/peer_messages_test.go
@@ -47,6 +47,9 @@
 		id := drawRun(t)
 		order.Tasks = append(order.Tasks, wire.OrderedTask{Step: id.Task.Step, Index: id.Task.Index, Number: id.Number})
 	}
+	if rapid.Bool().Draw(t, "timed") {
+		return &wire.TimedOrder{Order: *order, Predicted: time.Duration(drawNumber(t, "predicted"))}
+	}
 	return order
 }
 
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -6,6 +6,7 @@
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/model/run"
+	"pollenpaddle/internal/request/estimate"
 )
 
 // workerState is the known state of the worker.
@@ -30,6 +31,8 @@
 	heardAt  time.Duration // time of the last report or accepted start
 	leaseEnd time.Duration // when the leases of all runs started so far have expired, on the agent's clock
 
+	speed estimate.Slowness // relative to the predictions of the entries
+
 	failures  int    // consecutive jobs with a failed run
 	failedJob string // last of these jobs
 	failedAt  time.Duration
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -154,6 +154,8 @@
 		m.applyInventory(now, a, message)
 	case *wire.WorkerState:
 		m.applyState(now, a, message)
+	case *wire.WorkerSpeed:
+		a.speed.adopt(message)
 	case *wire.RunEnds:
 		for _, end := range message.Ends {
 			m.runEnded(now, a, end)
@@ -251,7 +253,8 @@
 		Spec: s.Spec, Need: s.Steps[o.step].Need, Tasks: o.tasks,
 	}
 	a.unreported = append(a.unreported, unreportedOrder{sequence: a.lastSequence, priority: s.Priority, need: scale(order.Need, len(o.tasks))})
-	m.emit(Send{Agent: a.id, Message: order})
+	predicted := m.statsOf(s.Queue).runTimeRatio.predict(s.Steps[o.step].DeclaredRunTime)
+	m.emit(Send{Agent: a.id, Message: &wire.TimedOrder{Order: *order, Predicted: predicted}})
 	return Placement{Agent: a.id, Runs: len(o.tasks), Predicted: o.predicted, StateAge: now - a.stateAt}
 }
 
--- a/internal/request/scheduler/peer_messages_test.go
+++ b/internal/request/scheduler/peer_messages_test.go
@@ -30,9 +30,12 @@
 			Number: rapid.Uint64Range(0, 12).Draw(t, "number"),
 		}
 	}
-	switch rapid.IntRange(0, 3).Draw(t, "type") {
+	switch rapid.IntRange(0, 4).Draw(t, "type") {
 	case 0:
 		return &wire.OwnerPoll{Sent: time.Duration(drawNumber(t, "sent"))}
+	case 4:
+		slowness := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1)}))
+		return &wire.WorkerSpeed{Slowness: slowness.Draw(t, "slowness"), Samples: int(drawNumber(t, "samples"))}
 	case 1:
 		return &wire.RunInventory{Runs: []run.ID{id(), id()}}
 	case 2:
--- a/internal/request/scheduler/speed.go
+++ b/internal/request/scheduler/speed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/request/estimate"
 )
 
@@ -66,6 +67,12 @@
 	s.recentDeviation, s.updatedAt = recent+weight*(max(-maxDeviation, min(maxDeviation, deviation))-recent), now
 }
 
+// adopt replaces the learned speed by that of the agent if it is based on more runs: those of all entries. The recent
+// deviation is relative to the learned speed.
+func (s *speed) adopt(reported *wire.WorkerSpeed) {
+	s.recentDeviation -= s.learned.Adopt(reported.Slowness, reported.Samples)
+}
+
 // currentDeviation returns the recent deviation, which decays while no run ends on the agent.
 func (s *speed) currentDeviation(now time.Duration) float64 {
 	return s.recentDeviation * math.Exp(-float64(now-s.updatedAt)/float64(deviationDecayTime))
--- a/internal/request/scheduler/zones_test.go
+++ b/internal/request/scheduler/zones_test.go
@@ -12,7 +12,7 @@
 // entryShares returns the share of the jobs of each entry that were in time, over several loads. The entries get the
 // given parts of all jobs. workersLost workers stop accepting runs before the load.
 func entryShares(parts []float64, rate float64, workersLost int) []float64 {
-	const loads, agents = 6, 11
+	const loads, agents = 24, 11
 	inTimeJobs, jobs := make([]int, len(parts)), make([]int, len(parts))
 	for seed := range uint64(loads) {
 		c := newCluster(len(parts), agents)
