--- a/internal/failure/fault.go
+++ b/internal/failure/fault.go
@@ -12,8 +12,8 @@
 var errFault = errors.New("unexpected fault")
 
 // RecoverFault ends a panic of the function that defers it and sets *err to an error of kind Internal that names the
-// place of the panic. It belongs into the goroutines of one request, session or call, so that others are not affected.
-// The event loops have none: after a panic, their state is unknown and the process has to be restarted.
+// place of the panic. Goroutines of one request, session or call defer it, so that others are not affected. Event loops
+// do not: after a panic, their state is unknown, and the process has to be restarted.
 func RecoverFault(err *error) {
 	if value := recover(); value != nil {
 		*err = errors.Mark(New(Internal, "report this as a bug", "unexpected fault at %s: %v", panicLocation(), value), errFault)
