--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -345,3 +345,25 @@
 		gomega.Expect(f.speeds[f.entries[2]]).To(gomega.HaveLen(before + 1))
 	})
 })
+
+var _ = ginkgo.Describe("an entry that was replaced by its next process", func() {
+	// Guards against orders of both processes during the hand-over: the earlier one may still send while its successor
+	// has its sessions already.
+	ginkgo.It("gets no more starts, and its runs are stopped once", func() {
+		f := newFleet(1, time.Minute)
+		earlier := f.entries[0]
+		f.order(earlier, "before")
+		f.advance(20 * time.Millisecond)
+		gomega.Expect(f.worker.Running).To(gomega.HaveLen(1))
+
+		successor := runner.EntryID{ID: earlier.ID, Incarnation: earlier.Incarnation + 1}
+		f.step(runner.Connected{Entry: successor})
+		f.order(earlier, "during the hand-over")
+		f.order(successor, "after")
+		f.advance(100 * time.Millisecond)
+		gomega.Expect(f.worker.Running).To(gomega.HaveLen(1), "the run of the successor")
+		stats := f.machine.Stats()
+		gomega.Expect(stats.Starts).To(gomega.BeEquivalentTo(2))
+		gomega.Expect(stats.Stops).To(gomega.BeEquivalentTo(1))
+	})
+})
