--- a/internal/request/runner/speed.go
+++ b/internal/request/runner/speed.go
@@ -23,7 +23,7 @@
 
 // sendSpeed sends the speed of the worker if it has changed. Entries share what they learn in this way: each of many
 // entries sees only a few runs of a worker, and an entry that starts has seen none. Until they knew which workers are
-// slow, ten entries that had just started served 0.84 of their jobs in time, and one that saw all runs 0.98.
+// slow, ten entries that had just started served 0.84 of their jobs in time, and one that saw all runs 0.95.
 func (m *Machine) sendSpeed(now time.Duration, o *owner) {
 	speed := &m.worker.speed
 	if now < o.nextSpeedAt || speed.Samples() < minSpeedSamples {
