Give an outcome to forwarded changes that can no longer be committed

A follower that had not heard of the new term forwarded the change to that member, whose rejection waited for the sync of the new term, which a full disk does not complete. The caller waited for its timeout instead of asking another member. More generally, a change that was forwarded to a leader and lost with it got no outcome.

Change: rejections of forwarded changes are sent at once; they promise nothing that a restart could undo. A member rejects changes of an earlier term than a committed entry: a change is committed in the term in which it was made or never, and the terms in the log do not decrease, so the rejection is true.

Tests: the rejection does not wait for the disk, and a change whose forwarding was lost with the leader is rejected (both failed before); the model checks that a proposal is committed only in its own term.

--- a/internal/version/replica/replica.go
+++ b/internal/version/replica/replica.go
@@ -53,6 +53,7 @@
 	unwritten     []replication.Batch
 	writing       bool
 	snapshotIndex uint64
+	appliedTerm   uint64 // term of the last applied entry; zero before the first one
 	appliedBytes  int
 	nextStatusAt  time.Duration
 	nextSweepAt   time.Duration
@@ -83,6 +84,7 @@
 	ctx     context.Context
 	data    []byte                       // of the proposal; nil for a membership change
 	change  replication.MembershipChange // zero for a proposal
+	term    uint64                       // term in which the core received it, the only one in which it can be committed
 	outcome chan outcome                 // has capacity 1, so that the main goroutine never blocks
 }
 
@@ -241,8 +243,7 @@
 	var proposals []replication.Proposal
 	for _, q := range requests {
 		if q.proposal != nil {
-			r.lastProposal++
-			r.waiters[r.lastProposal] = q.proposal
+			r.addWaiter(q.proposal)
 			proposals = append(proposals, replication.Proposal{Sequence: r.lastProposal, Data: q.proposal.data})
 		}
 	}
@@ -258,6 +259,13 @@
 	return r.step(replication.Propose{Proposals: proposals})
 }
 
+// addWaiter registers a waiter under the next sequence number, r.lastProposal.
+func (r *Replica) addWaiter(w *waiter) {
+	r.lastProposal++
+	w.term = r.core.Term()
+	r.waiters[r.lastProposal] = w
+}
+
 func (r *Replica) handleRequest(q request) error {
 	switch {
 	case q.message != nil:
@@ -266,8 +274,7 @@
 		}
 		return r.step(replication.Received{Message: *q.message})
 	case q.membershipChange != nil:
-		r.lastProposal++
-		r.waiters[r.lastProposal] = q.membershipChange
+		r.addWaiter(q.membershipChange)
 		change := q.membershipChange.change
 		change.Sequence = r.lastProposal
 		return r.step(change)
@@ -331,6 +338,7 @@
 			r.appliedBytes += len(e.Data)
 		}
 		r.completeWaiter(e)
+		r.rejectSuperseded(e)
 	}
 	if last == 0 || last-r.snapshotIndex < r.options.SnapshotEvery && r.appliedBytes < snapshotBytes {
 		return nil
@@ -363,6 +371,21 @@
 	}
 }
 
+// rejectSuperseded returns an error to the callers whose proposals belong to an earlier term than a committed entry.
+// The terms in the log never decrease, so that entries of earlier terms that precede it have been applied, and others
+// will never be committed. Without it, callers whose forwarded proposals were lost with a leader wait for their timeout.
+func (r *Replica) rejectSuperseded(e *replication.Entry) {
+	if e.Term <= r.appliedTerm {
+		return
+	}
+	r.appliedTerm = e.Term
+	for sequence, w := range r.waiters {
+		if w.term < e.Term {
+			r.reject(replication.Rejection{Sequence: sequence, Reason: "the leader was replaced before the change was committed"})
+		}
+	}
+}
+
 // reject returns an error to the caller whose proposal or membership change was rejected or has an
 // outcome that the core cannot determine.
 func (r *Replica) reject(rejection replication.Rejection) {
--- a/internal/version/replica/replica_test.go
+++ b/internal/version/replica/replica_test.go
@@ -95,6 +95,7 @@
 	lastIncarnation uint64
 	snapshotEvery   uint64
 	discardCommands bool // state machines store no commands
+	dropProposals   bool // forwarded proposals are lost
 }
 
 func newCluster(folder string, size int) *cluster {
@@ -110,8 +111,9 @@
 	c.mu.Lock()
 	c.bytes += uint64(len(data))
 	target := c.members[to.Name]
+	lost := c.dropProposals && message.Type == replication.MessagePropose
 	c.mu.Unlock()
-	if target != nil {
+	if target != nil && !lost {
 		target.Receive(must(replication.DecodeMessage(data)))
 	}
 }
@@ -312,6 +314,31 @@
 	})
 })
 
+var _ = ginkgo.Describe("a replica whose leader is replaced", func() {
+	// Guards against a caller that waits for its timeout although its change, which was forwarded to the former leader
+	// and lost, can no longer be committed.
+	ginkgo.It("rejects forwarded proposals that were not committed", func() {
+		c := newCluster(ginkgo.GinkgoT().TempDir(), 3)
+		leader, others := awaitVoters(c.startAll())
+		others[0].awaitLeader("")
+		c.mu.Lock()
+		c.dropProposals = true
+		c.mu.Unlock()
+		ctx, outcome := testContext(), make(chan error, 1)
+		go func() {
+			_, err := others[0].Propose(ctx, []byte("lost"))
+			outcome <- err
+		}()
+		gomega.Consistently(outcome, "200ms").ShouldNot(gomega.Receive())
+		c.stop(leader)
+		var err error
+		gomega.Eventually(outcome, acknowledgementBound).Should(gomega.Receive(&err))
+		gomega.Expect(failure.KindOf(err)).To(gomega.Equal(failure.Unavailable))
+		gomega.Expect(others[0].state.copy()).To(gomega.BeEmpty())
+		c.stop(others...)
+	})
+})
+
 var _ = ginkgo.Describe("a replica on a faulty disk", func() {
 	prepare := func(files *faultfs.FS) (*cluster, *process, chan error) {
 		c := newCluster("", 1)
--- a/internal/version/replication/cluster_test.go
+++ b/internal/version/replication/cluster_test.go
@@ -369,6 +369,8 @@
 	for _, command := range commands {
 		m.sequence++
 		proposals = append(proposals, replication.Proposal{Sequence: m.sequence, Data: []byte(command)})
+		id := replication.ProposalID{Origin: m.store.Identity(), Run: m.incarnation, Sequence: m.sequence}
+		m.cluster.oracle.proposedIn[id] = m.core.Term()
 	}
 	m.handle(replication.Propose{Proposals: proposals})
 }
--- a/internal/version/replication/core_test.go
+++ b/internal/version/replication/core_test.go
@@ -86,6 +86,18 @@
 		gomega.Expect(typesOf(f.sync())).To(gomega.Equal([]replication.MessageType{replication.MessageAppendReply}))
 	})
 
+	// Guards against a caller that waits for its timeout: the rejection of its forwarded proposal waited for the sync of a
+	// newer term, which a full disk does not complete.
+	ginkgo.It("rejects forwarded proposals of an older term without waiting for the disk", func() {
+		f := newCoreFixture()
+		f.receive(replication.Message{Type: replication.MessageVote, From: 2, Term: 3, Index: 1, LogTerm: 1})
+		entries := []replication.Entry{{Kind: replication.EntryCommand, Proposal: replication.ProposalID{Origin: 3, Run: 5, Sequence: 8}}}
+		f.receive(replication.Message{Type: replication.MessagePropose, From: 3, Term: 2, Entries: entries})
+		gomega.Expect(typesOf(f.sent)).To(gomega.Equal([]replication.MessageType{replication.MessageProposeReply}))
+		gomega.Expect(f.sent[0].Reject).To(gomega.BeTrue())
+		gomega.Expect(f.sent[0].Hint).To(gomega.Equal(uint64(8)))
+	})
+
 	// Guards against two leaders in one term, elected with a member's votes for both.
 	ginkgo.It("votes once in a term", func() {
 		f := newCoreFixture()
--- a/internal/version/replication/leader.go
+++ b/internal/version/replication/leader.go
@@ -133,9 +133,11 @@
 	}
 }
 
+// rejectForwarded does not wait for the disk: a rejection promises nothing that a restart could undo, and on a full
+// disk it would never be sent.
 func (c *Core) rejectForwarded(from Identity, entries []Entry) {
 	for _, e := range entries {
-		c.send(Message{Type: MessageProposeReply, To: from, Reject: true, Hint: e.Proposal.Sequence, Run: e.Proposal.Run}, afterState)
+		c.send(Message{Type: MessageProposeReply, To: from, Reject: true, Hint: e.Proposal.Sequence, Run: e.Proposal.Run}, immediately)
 	}
 }
 
--- a/internal/version/replication/oracle_test.go
+++ b/internal/version/replication/oracle_test.go
@@ -25,6 +25,8 @@
 	voters       map[replication.Identity]bool   // identities that were a voter in some configuration
 	basesChecked int                             // calls of checkBasis that found a basis
 
+	proposedIn map[replication.ProposalID]uint64 // the proposer's term at the time of the proposal
+
 	configurations []configurationEntry // all that were appended, in the order in which they were persisted
 }
 
@@ -65,6 +67,7 @@
 	return &oracle{
 		fail: fail, leaders: map[uint64]replication.Identity{},
 		lostDisks: map[replication.Identity]bool{}, voters: map[replication.Identity]bool{},
+		proposedIn: map[replication.ProposalID]uint64{},
 	}
 }
 
@@ -127,11 +130,15 @@
 	}
 }
 
-// checkCommitted checks that all members apply the same entries in the same order.
+// checkCommitted checks that all members apply the same entries in the same order, and that a proposal is committed
+// only in the term in which it was made.
 func (o *oracle) checkCommitted(m *machine, e replication.Entry) {
 	if e.Index != m.applied+1 {
 		o.fail("%s applies entry %d after entry %d", m.name, e.Index, m.applied)
 	}
+	if term, known := o.proposedIn[e.Proposal]; known && term != e.Term {
+		o.fail("%s commits a proposal of term %d in term %d", m.name, term, e.Term)
+	}
 	switch next := uint64(len(o.committed)) + 1; {
 	case e.Index == next:
 		o.committed = append(o.committed, committedEntry{entry: e, at: m.cluster.now, term: m.core.Status().Term})
--- a/internal/version/replication/status.go
+++ b/internal/version/replication/status.go
@@ -33,6 +33,10 @@
 	OtherGroup uint64
 }
 
+// Term returns the member's current term. A proposal that is submitted now is committed in this term or never: only
+// the leader of this term accepts it.
+func (c *Core) Term() uint64 { return c.hardState.Term }
+
 // Status returns a copy of the member's state.
 func (c *Core) Status() Status {
 	s := Status{
