Place other jobs while a task avoids the only agent with capacity

And while a task avoided the only agent with free capacity, all jobs with the same need and the same or a less urgent priority waited, because the need was recorded as blocked.

Change: a refused task is not sent to that agent before the backoff of 250 ms, whatever the agent's state says meanwhile, and a need counts as blocked only if no agent at all can take it.

--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -23,7 +23,8 @@
 	// its free capacity, or of the last order that its state includes, shortens a longer backoff to this value.
 	busyBackoff = 8 * time.Millisecond
 	// refusalBackoff is how long an agent gets no order after a refusal with run.Unfit, run.Unhealthy or
-	// run.Conflict. A refusal with run.Outdated causes no backoff.
+	// run.Conflict, unless its state shortens the wait to busyBackoff; for the refused task nothing shortens it. A
+	// refusal with run.Outdated causes no backoff.
 	refusalBackoff = 250 * time.Millisecond
 	// lossTimeout is how long after the end of a session this entry's runs at the agent may still be
 	// executing: the agent stops them after the owner timeout, and if the agent is gone, their lease expires.
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -71,6 +71,7 @@
 	// avoidAgent is the last agent on which a run failed, was lost or was stopped, for example as a straggler, or
 	// that refused a run with run.Unfit, run.Unhealthy or run.Conflict. It is not reset by later runs elsewhere.
 	avoidAgent *agent
+	avoidUntil time.Duration // after a refusal, the task is not sent to avoidAgent before this time, even if it is the only agent
 	predicted  time.Duration
 }
 
@@ -427,7 +428,7 @@
 	case run.Outdated:
 		t.number += outdatedNumberStep
 	case run.Unfit, run.Unhealthy, run.Conflict:
-		t.avoidAgent = a
+		t.avoidAgent, t.avoidUntil = a, now+refusalBackoff
 		a.backoffUntil = max(a.backoffUntil, now+refusalBackoff)
 	default:
 		a.backoffUntil = max(a.backoffUntil, now+busyBackoff)
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -90,13 +90,15 @@
 		if isBlocked(*blocked, j.submission, need) {
 			break
 		}
-		a, agentWait := m.chooseAgent(now, t)
-		if a == nil {
-			*blocked = append(*blocked, blockedNeed{service: j.submission.Service, priority: j.submission.Priority, need: need})
+		choice := m.chooseAgent(now, t)
+		if choice.agent == nil {
+			if !choice.onlyAvoided {
+				*blocked = append(*blocked, blockedNeed{service: j.submission.Service, priority: j.submission.Priority, need: need})
+			}
 			break
 		}
-		m.plan = append(m.plan, plannedRun{task: t, agent: a, need: need, maxWait: maxWaitAtAgent(agentWait)})
-		a.plannedRuns++
+		m.plan = append(m.plan, plannedRun{task: t, agent: choice.agent, need: need, maxWait: maxWaitAtAgent(choice.wait)})
+		choice.agent.plannedRuns++
 	}
 	for _, p := range m.plan {
 		p.agent.plannedRuns = 0
@@ -245,10 +247,19 @@
 	return m.meanRunTime
 }
 
-// chooseAgent returns the agent with the earliest predicted completion for a task and the predicted wait for
-// capacity there, or nil if the task has to wait at the entry. The task's avoidAgent is chosen only if no other
-// agent is available, with or without free capacity; its backoff is then ignored.
-func (m *Machine) chooseAgent(now time.Duration, t *task) (*agent, time.Duration) {
+// choice is the agent for the next run of a task.
+type choice struct {
+	agent *agent        // nil if the task has to wait at the entry
+	wait  time.Duration // predicted wait for capacity at the agent
+	// onlyAvoided is set, without an agent, if the only agent that could take the run is the one that this task
+	// avoids: other tasks with the same need may be sent there.
+	onlyAvoided bool
+}
+
+// chooseAgent returns the agent with the earliest predicted completion for a task. The task's avoidAgent is chosen
+// only if no other agent is available, with or without free capacity, and not before avoidUntil; the agent's own
+// backoff is then ignored.
+func (m *Machine) chooseAgent(now time.Duration, t *task) choice {
 	s := t.job.submission
 	need := s.Steps[t.step].Need
 	var best *agent
@@ -278,12 +289,14 @@
 		}
 		best, bestCompletion, bestOption = a, completion, option
 	}
-	if avoided && !others {
-		if option := m.evaluate(t.avoidAgent, need, s.Priority); option.ok {
-			return t.avoidAgent, option.wait
+	if best == nil && avoided {
+		option := m.evaluate(t.avoidAgent, need, s.Priority)
+		if option.ok && !others && now >= t.avoidUntil {
+			return choice{agent: t.avoidAgent, wait: option.wait}
 		}
+		return choice{onlyAvoided: option.ok}
 	}
-	return best, bestOption.wait
+	return choice{agent: best, wait: bestOption.wait}
 }
 
 // isBetter compares two agents by the predicted time to completion, or by free capacity if these times
