Answer a failed single request with upstream_failed, status 502

The request had run. A caller or proxy that retries a 503 sent it again, and the command-line tool would have exited with the code for 'not run'.

Change: the kind upstream_failed, status 502, without Retry-After, for every request that ran and has no response to pass on, also if the agent is of an earlier release and sends another kind. Responses of the upstream are passed through as before.

Test: the four reasons at the HTTP interface (failed before: 413, 503 and 503, and a remedy that did not warn of a second run).

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -156,6 +156,7 @@
 		ginkgo.Entry(nil, failure.RevisionConflict, command.ExitConflict),
 		ginkgo.Entry(nil, failure.Overloaded, command.ExitNotRun),
 		ginkgo.Entry(nil, failure.MayHaveRun, command.ExitMayHaveRun),
+		ginkgo.Entry(nil, failure.UpstreamFailed, command.ExitMayHaveRun),
 		ginkgo.Entry(nil, failure.Unauthenticated, command.ExitPermission),
 		ginkgo.Entry(nil, failure.Internal, command.ExitError),
 	)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -33,9 +33,12 @@
 	// QuotaExceeded reports work that was rejected because of its organisation's quota; it was not
 	// run.
 	QuotaExceeded Kind = "quota_exceeded"
-	// Unavailable reports a dependency or resource that is temporarily unavailable; nothing was run. For
-	// a task in the state job.Failed, it reports that the upstream failed the task, which was run.
+	// Unavailable reports a dependency or resource that is temporarily unavailable; nothing was run. Agents of
+	// earlier releases also send it for tasks in the state job.Failed; see UpstreamFailed.
 	Unavailable Kind = "unavailable"
+	// UpstreamFailed reports a task that was run: the upstream responded with an error, or its response could not
+	// be read.
+	UpstreamFailed Kind = "upstream_failed"
 	// MayHaveRun reports work that may or may not have started.
 	MayHaveRun Kind = "may_have_run"
 	// TooLarge reports a request, message or response, or a part of one, that exceeds a limit.
--- a/internal/process/agent/client.go
+++ b/internal/process/agent/client.go
@@ -165,7 +165,7 @@
 		result.State, result.FailureKind = job.Failed, failure.TooLarge
 		result.Message = "the upstream's response exceeds the limit of 8 MiB"
 	case responded:
-		result.State, result.FailureKind = job.Failed, failure.Unavailable
+		result.State, result.FailureKind = job.Failed, failure.UpstreamFailed
 		result.Message = "the upstream's response could not be read completely: " + err.Error()
 	default:
 		result.State, result.FailureKind = job.MayHaveRun, failure.MayHaveRun
@@ -177,7 +177,7 @@
 	result.Status = response.StatusCode()
 	result.State = job.Done
 	if result.Status >= fasthttp.StatusInternalServerError {
-		result.State, result.FailureKind = job.Failed, failure.Unavailable
+		result.State, result.FailureKind = job.Failed, failure.UpstreamFailed
 		result.Message = "the upstream responded with an error status"
 	}
 	result.Body = append([]byte(nil), response.Body()...)
--- a/internal/process/entry/http_test.go
+++ b/internal/process/entry/http_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/process/entry"
 )
@@ -92,6 +93,21 @@
 		gomega.Expect([]any{r.status, r.kind}).To(gomega.Equal([]any{409, "may_have_run"}))
 	})
 
+	// Guards against an error that means "not run", with a time to retry, for a request that ran: callers and proxies
+	// would send it again.
+	ginkgo.DescribeTable("does not claim that a failed request was not run", func(kind failure.Kind) {
+		a.result = func(*job.Task) job.Result { return job.Result{State: job.Failed, FailureKind: kind} }
+		r := n.call("POST", "/v1/requests", forecastToken, `{"class":"short","path":"/a","idempotent":false}`)
+		gomega.Expect([]any{r.status, r.kind}).To(gomega.Equal([]any{502, "upstream_failed"}))
+		gomega.Expect(r.header.Peek("Retry-After")).To(gomega.BeEmpty())
+		gomega.Expect(r.body).To(gomega.ContainSubstring("only if running it twice does no harm"))
+	},
+		ginkgo.Entry("the upstream broke off its response", failure.UpstreamFailed),
+		ginkgo.Entry("the response is too large", failure.TooLarge),
+		ginkgo.Entry("the agent is of an earlier release", failure.Unavailable),
+		ginkgo.Entry("the agent gives no reason", failure.Kind("")),
+	)
+
 	ginkgo.DescribeTable("rejects bad input", func(body, kind string) {
 		r := post(strings.ReplaceAll(body, "NOW", fmt.Sprint(i.wall())))
 		gomega.Expect(r.kind).To(gomega.Equal(kind), r.body)
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -91,8 +91,9 @@
 	return strings.EqualFold(name, StateHeader) || strings.EqualFold(name, JobHeader)
 }
 
+// resultError returns the error for a request that got no response from the upstream.
 func resultError(r *job.Result, retryAfter time.Duration) *failure.Error {
-	kind, remedy := r.FailureKind, "check the request and the upstream"
+	kind, remedy := r.FailureKind, "repeat the request only if running it twice does no harm"
 	switch r.State {
 	case job.NotRun:
 		if kind == "" {
@@ -100,11 +101,10 @@
 		}
 		remedy = "resubmit the request; it was not run"
 	case job.MayHaveRun:
-		kind, remedy = failure.MayHaveRun, "repeat the request only if running it twice does no harm"
+		kind = failure.MayHaveRun
 	default:
-		if kind == "" {
-			kind = failure.Unavailable
-		}
+		// Whatever the reason, the request ran: kinds that elsewhere mean "not run" would make callers send it again.
+		kind, retryAfter = failure.UpstreamFailed, 0
 	}
 	message := r.Message
 	if message == "" {
--- a/internal/process/httpapi/httpapi.go
+++ b/internal/process/httpapi/httpapi.go
@@ -32,6 +32,7 @@
 	failure.Overloaded:       fasthttp.StatusServiceUnavailable,
 	failure.QuotaExceeded:    fasthttp.StatusTooManyRequests,
 	failure.Unavailable:      fasthttp.StatusServiceUnavailable,
+	failure.UpstreamFailed:   fasthttp.StatusBadGateway,
 	failure.MayHaveRun:       fasthttp.StatusConflict,
 	failure.TooLarge:         fasthttp.StatusRequestEntityTooLarge,
 	failure.Internal:         fasthttp.StatusInternalServerError,
--- a/internal/request/dispatch/fakeagent_test.go
+++ b/internal/request/dispatch/fakeagent_test.go
@@ -100,7 +100,7 @@
 	result := job.Result{State: job.Done, Status: 200, RunTime: run}
 	if a.broken {
 		run = time.Millisecond
-		result = job.Result{State: job.Failed, Status: 500, RunTime: run, FailureKind: failure.Unavailable}
+		result = job.Result{State: job.Failed, Status: 500, RunTime: run, FailureKind: failure.UpstreamFailed}
 		a.failed++
 	}
 	a.sim.after(run, func() {
