--- a/internal/connection/wire/run.go
+++ b/internal/connection/wire/run.go
@@ -103,7 +103,9 @@
 	_        struct{} `cbor:",toarray"`
 	Priority int
 	Need     job.Resources
-	Own      bool // the receiver must not send more of them to wait: it has as many as its part of the orders allows, at least one
+	// LimitReached forbids the receiver to send more of them to wait: it has as many as its part of the orders
+	// allows, at least one.
+	LimitReached bool
 }
 
 // OwnerPoll asks an entry to confirm that it still owns its runs at the sender.
--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -258,7 +258,7 @@
 			f.advance(50 * time.Millisecond)
 			states := f.states[entry]
 			waiting := states[len(states)-1].Waiting
-			return len(waiting) == 0 || !waiting[0].Own
+			return len(waiting) == 0 || !waiting[0].LimitReached
 		}
 		for range 3 {
 			orderRuns(f.entries[0], 12)
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -159,7 +159,7 @@
 		if r.owner == o.id {
 			own++
 		}
-		waitingRuns.Own = own >= max(1, o.waitingLimit)
+		waitingRuns.LimitReached = own >= max(1, o.waitingLimit)
 	}
 	return state
 }
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -35,9 +35,9 @@
 	// pauseThreshold is the time without a step, while a job is open, from which this process counts as having been
 	// paused: agents have stopped its runs, and callers may have resubmitted their jobs to other entries.
 	pauseThreshold = runner.OwnerTimeout
-	// callerCheckTime is the time after a pause in which disconnected callers are reported. It exceeds the interval at
-	// which the connections of waiting callers are checked (100 ms).
-	callerCheckTime = 150 * time.Millisecond
+	// CallerCheckTime is the time after a pause in which disconnected callers are reported. It exceeds the interval at
+	// which the adapter checks the connections of waiting callers.
+	CallerCheckTime = 150 * time.Millisecond
 )
 
 // Machine is the state machine. It performs no I/O and reads no clock.
@@ -122,7 +122,7 @@
 // without a pause steps are never that far apart.
 func (m *Machine) holdJobsAfterPause(now time.Duration) {
 	if len(m.jobs) > 0 && now-m.now >= pauseThreshold {
-		m.heldArrival, m.heldUntil = m.arrival, now+callerCheckTime
+		m.heldArrival, m.heldUntil = m.arrival, now+CallerCheckTime
 	}
 }
 
--- a/internal/request/scheduler/peer_messages_test.go
+++ b/internal/request/scheduler/peer_messages_test.go
@@ -46,7 +46,7 @@
 	}
 	return &wire.WorkerState{
 		Service: rapid.SampledFrom([]string{"", service}).Draw(t, "service"), Capacity: drawResources(t), Free: drawResources(t),
-		Waiting: []wire.WaitingRuns{{Priority: int(drawNumber(t, "priority")), Need: drawResources(t), Own: rapid.Bool().Draw(t, "own")}},
+		Waiting: []wire.WaitingRuns{{Priority: int(drawNumber(t, "priority")), Need: drawResources(t), LimitReached: rapid.Bool().Draw(t, "own")}},
 		Open:    rapid.Bool().Draw(t, "open"), Failures: int(drawNumber(t, "failures")), Orders: rapid.Uint64().Draw(t, "orders"),
 	}
 }
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -224,7 +224,7 @@
 	for _, w := range a.state.Waiting {
 		if w.Priority <= priority {
 			free = job.Difference(free, w.Need)
-			mayNotWait = mayNotWait || w.Own
+			mayNotWait = mayNotWait || w.LimitReached
 		}
 	}
 	if free.Covers(need) {
