Keep the limit of an agent after a failure that is usual for its class

Cause, suspected by readers: where many starts of a class fail at every agent, the threshold of failures is high, and a failure below it lifted any limit of the agent's open starts. One failed start thus ended the warm-up of an agent whose zone had just returned to service.

Change: such a failure restores the limit that an earlier failure had replaced, and no other. In package scheduler nothing changes: its agents have no limit but that of failures.

--- a/internal/request/health/health.go
+++ b/internal/request/health/health.go
@@ -72,6 +72,7 @@
 
 	trusted             bool // initially healthy, or a start succeeded since the last probation began
 	consecutiveFailures int
+	limitBeforeFailure  int // Limit before a failure limited the agent to one open start; zero if none did
 }
 
 // New returns the state of an unknown agent, which gets one start at a time until the first
@@ -84,7 +85,7 @@
 // RecordSuccess counts a success. Each one doubles the limit, which is lifted when it reaches twice
 // the number of slots.
 func (s *State) RecordSuccess(slots int) {
-	s.consecutiveFailures = 0
+	s.consecutiveFailures, s.limitBeforeFailure = 0, 0
 	if !s.trusted || s.Limit < noLimit {
 		s.trusted = true
 		s.Limit *= 2
@@ -97,8 +98,8 @@
 
 // RecordFailure counts a failed start and reports whether a probation begins. After each of the last
 // minFailures-1 failures before the threshold the agent is limited to one open start until the next
-// success, so that a sudden fault costs few tasks. An earlier failure lifts the limit of a trusted agent: the
-// threshold may have grown since the limit was set.
+// success, so that a sudden fault costs few tasks. An earlier failure restores the limit that a trusted agent had
+// before: the threshold may have grown since.
 func (s *State) RecordFailure(now time.Duration, threshold int) bool {
 	if s.ProbationEnd > now {
 		return false // the start was sent before the probation began
@@ -110,19 +111,20 @@
 	switch {
 	case s.consecutiveFailures >= threshold:
 	case s.consecutiveFailures > threshold-minFailures:
+		if s.limitBeforeFailure == 0 {
+			s.limitBeforeFailure = s.Limit
+		}
 		s.Limit = 1
 		return false
 	default:
-		if s.trusted {
-			// The failures are few for the grown threshold: lift a limit set by an earlier one. This also
-			// ends a warm-up.
-			s.Limit = noLimit
+		if s.trusted && s.limitBeforeFailure != 0 {
+			s.Limit, s.limitBeforeFailure = s.limitBeforeFailure, 0
 		}
 		return false
 	}
 	s.ProbationEnd = now + probationDuration(s.Probations)
 	s.Probations++
-	s.consecutiveFailures, s.trusted, s.Limit = 0, false, 1
+	s.consecutiveFailures, s.trusted, s.Limit, s.limitBeforeFailure = 0, false, 1, 0
 	return true
 }
 
--- a/internal/request/health/health_test.go
+++ b/internal/request/health/health_test.go
@@ -102,6 +102,20 @@
 		gomega.Expect(s.Describe(time.Hour)).To(gomega.Equal("healthy"))
 	})
 
+	// Guards against the end of a warm-up, or of any other limit, by a failure: where many starts of a class fail at all
+	// agents, the first failure lifted the limit.
+	ginkgo.It("keeps its limit after a failure that is usual for its class", func() {
+		const usual = 20 // threshold of a class of which many starts fail everywhere
+		s := health.NewHealthy()
+		s.WarmUp()
+		gomega.Expect(s.RecordFailure(0, usual)).To(gomega.BeFalse())
+		gomega.Expect(s.Limit).To(gomega.Equal(2))
+		gomega.Expect(s.RecordFailure(0, threshold)).To(gomega.BeFalse())
+		gomega.Expect(s.Limit).To(gomega.Equal(1))
+		gomega.Expect(s.RecordFailure(0, usual)).To(gomega.BeFalse(), "the threshold has grown")
+		gomega.Expect(s.Limit).To(gomega.Equal(2))
+	})
+
 	// Guards against full load on workers whose zone has just returned to service.
 	ginkgo.It("is limited to two starts after the return of its zone", func() {
 		s := health.NewHealthy()
