Refuse a start whose fencing token the worker has superseded

Cause, found by a new test of the hand-over between two processes of an agent, which tries all orders of events: the former process, which was paused and resumed, got the answer that its token is too low, took a higher one and sent the start again. Meanwhile the next process had reported that run as over, so the entry could have ordered the task again: the task would have run twice. Two processes of an agent are active together only if both can use its addresses, so this takes more than a restart; but a process must not outbid its successor.

Change: such a start is refused and the entry chooses again. Starts are sent only after the worker has accepted the token, so a higher one comes from another process. Renewals and stops still take a higher token, which a process needs whose clock was set back.

Test: 60,000 orders of 6 events after the first start, among them calls that are not answered or executed late, a former process that ended or is paused, and a next one with a higher or a lower token; it failed at 5 events before.

--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -56,8 +56,10 @@
 		w.heardAt = now
 		m.confirmRunning(now, r)
 	case Fenced:
+		// Starts are sent only after the worker has accepted the token, so another process of the agent has called
+		// the worker since, and may have reported this run as over: it must not be sent again.
 		m.raiseToken(e.Token)
-		m.retryStart(now, r)
+		m.endUnstarted(now, r, e.Result)
 	case NoResponse:
 		m.noteUnanswered(now)
 		m.stats.Unanswered++
@@ -71,15 +73,6 @@
 	}
 }
 
-// retryStart repeats a start that the worker has refused because of its fencing token.
-func (m *Machine) retryStart(now time.Duration, r *record) {
-	if r.cancelRequested {
-		m.endRun(now, r, run.Stopped, 0)
-		return
-	}
-	m.sendStart(now, r)
-}
-
 // endUnstarted reports a run that the worker has not started and never will as refused, or as stopped if
 // its owner has cancelled it.
 func (m *Machine) endUnstarted(now time.Duration, r *record, result CallResult) {
@@ -95,7 +88,7 @@
 		reason = run.Unfit
 	case Unhealthy:
 		reason = run.Unhealthy
-	case OtherWorker, NotSent:
+	case OtherWorker, NotSent, Fenced:
 		reason = run.Closed
 	case NoCapacity:
 		m.worker.outOfBandWanted = true // the worker may be executing a run without a record; the next report shows it
