--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -247,8 +247,8 @@
 	return m.meanRunTime
 }
 
-// choice is the agent for the next run of a task.
-type choice struct {
+// agentChoice is the agent for the next run of a task.
+type agentChoice struct {
 	agent *agent        // nil if the task has to wait at the entry
 	wait  time.Duration // predicted wait for capacity at the agent
 	// onlyAvoided is set, without an agent, if the only agent that could take the run is the one that this task
@@ -259,7 +259,7 @@
 // chooseAgent returns the agent with the earliest predicted completion for a task. The task's avoidAgent is chosen
 // only if no other agent is available, with or without free capacity, and not before avoidUntil; the agent's own
 // backoff is then ignored.
-func (m *Machine) chooseAgent(now time.Duration, t *task) choice {
+func (m *Machine) chooseAgent(now time.Duration, t *task) agentChoice {
 	s := t.job.submission
 	need := s.Steps[t.step].Need
 	var best *agent
@@ -292,11 +292,11 @@
 	if best == nil && avoided {
 		option := m.evaluate(t.avoidAgent, need, s.Priority)
 		if option.ok && !others && now >= t.avoidUntil {
-			return choice{agent: t.avoidAgent, wait: option.wait}
+			return agentChoice{agent: t.avoidAgent, wait: option.wait}
 		}
-		return choice{onlyAvoided: option.ok}
+		return agentChoice{onlyAvoided: option.ok}
 	}
-	return choice{agent: best, wait: bestOption.wait}
+	return agentChoice{agent: best, wait: bestOption.wait}
 }
 
 // isBetter compares two agents by the predicted time to completion, or by free capacity if these times
