--- a/internal/request/runner/handover_test.go
+++ b/internal/request/runner/handover_test.go
@@ -241,7 +241,7 @@
 }
 
 // TestHandOverBetweenAgentProcesses guards against a task that runs twice at the same time, or after its entry has been
-// told that it is over, while a process of the agent is replaced by the next one: in all orders of events up to a
+// told that it is over, while a process of the agent is replaced by the next one. It tries all orders of events up to a
 // depth. The former process may still run, paused at any step; its calls may be executed after those of its successor.
 func TestHandOverBetweenAgentProcesses(t *testing.T) {
 	const depth = 6
