Repeat a start that was overtaken by the agent's own new token

Cause: refused every start whose token the worker had superseded, on the assumption that only another process raises it. The agent raises its token itself after a call that was not answered; a later call with the new token then overtakes a start that is on its way.

Change: a start is repeated if this process has raised its token since the call, and refused otherwise.

--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -56,10 +56,7 @@
 		w.heardAt = now
 		m.confirmRunning(now, r)
 	case Fenced:
-		// Starts are sent only after the worker has accepted the token, so another process of the agent has called
-		// the worker since, and may have reported this run as over: it must not be sent again.
-		m.raiseToken(e.Token)
-		m.endUnstarted(now, r, e.Result)
+		m.startFenced(now, r, e)
 	case NoResponse:
 		m.noteUnanswered(now)
 		m.stats.Unanswered++
@@ -73,6 +70,18 @@
 	}
 }
 
+// startFenced handles the refusal of a start because the worker has seen a higher fencing token. If this process has
+// raised its own token since the call, the start is repeated with it. Otherwise another process of the agent has called
+// the worker, which had accepted this token before, and may have reported the run as over: it must not be sent again.
+func (m *Machine) startFenced(now time.Duration, r *record, e StartReturned) {
+	if e.Token < m.worker.token && !r.cancelRequested {
+		m.sendStart(now, r)
+		return
+	}
+	m.raiseToken(e.Token)
+	m.endUnstarted(now, r, e.Result)
+}
+
 // endUnstarted reports a run that the worker has not started and never will as refused, or as stopped if
 // its owner has cancelled it.
 func (m *Machine) endUnstarted(now time.Duration, r *record, result CallResult) {
--- a/internal/request/runner/handover_test.go
+++ b/internal/request/runner/handover_test.go
@@ -262,3 +262,33 @@
 	}
 	t.Logf("%d orders of %d events", runs, depth)
 }
+
+// TestStartOvertakenByRaisedToken guards against a run that is refused although its agent is the only process: another
+// start was not answered, so the agent raised its token, and a call with the new one overtook this start.
+func TestStartOvertakenByRaisedToken(t *testing.T) {
+	const next = "0000000000000002"
+	h := newHandOver(&choices{})
+	h.step(h.current(), runner.Received{Entry: h.entry, Message: &wire.RunOrder{
+		Sequence: 2, Job: next, Service: "s", MaxWait: 30 * time.Millisecond,
+		Need: job.Resources{MilliProcessors: 1500}, Tasks: []wire.OrderedTask{{Number: 1}},
+	}})
+	callOf := func(matches func(runner.Action) bool) int {
+		return slices.IndexFunc(h.transits, func(c transit) bool { return !c.unanswered && matches(c.action) })
+	}
+	startOf := func(jobID string) int {
+		return callOf(func(a runner.Action) bool { s, ok := a.(runner.Start); return ok && s.Run.Task.Job == jobID })
+	}
+	unanswered := h.transits[startOf(handOverTask)]
+	h.transits[startOf(handOverTask)].unanswered = true
+	h.step(unanswered.from, responseOf(unanswered.action, runner.NoResponse, unanswered.sent))
+	h.execute(callOf(func(a runner.Action) bool { r, ok := a.(runner.Renew); return ok && r.OutOfBand }))
+	h.execute(startOf(next)) // refused
+	again := startOf(next)
+	if again < 0 {
+		t.Fatal("the start is not repeated with the new token")
+	}
+	h.execute(again)
+	if !h.worker.IsRunning(run.ID{Task: run.TaskID{Job: next}, Number: 1}) {
+		t.Error("the run does not run")
+	}
+}
