review: case 4, a late start on a worker that has restarted

Claim: a start that was left unanswered counts as lost once the worker has seen a higher fencing token; a worker that restarts under its id has forgotten that token and carries the start out beside the task's next run (TWICE).

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,10 +6,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,7 +28,9 @@
 // play is a case: it returns what broke the rule, an empty text if nothing did.
 type play func(d *deployment, trouble bool) (broken string, err error)
 
-var plays = map[string]play{"evacuation": playEvacuation, "cancel": playCancel}
+var plays = map[string]play{
+	"evacuation": playEvacuation, "cancel": playCancel, "late-start": playLateStart, "cancel-before-submission": playCancelBeforeSubmission,
+}
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
@@ -147,12 +152,18 @@
 	}
 	began := time.Now()
 	time.Sleep(3200 * time.Millisecond)
+	return d.judgeCancel(id, owner, other, trouble, began.Add(freeze), answered)
+}
+
+// judgeCancel cancels the job at the other entry, lets the owner continue at the given time, and returns the starts that
+// break the rule.
+func (d *deployment) judgeCancel(id string, owner, other *machine, trouble bool, wake time.Time, answered <-chan answer) (string, error) {
 	cancelled := d.request(other, "DELETE", id, nil, time.Second)
 	acknowledged := time.Now()
 	if cancelled.status/100 != 2 && cancelled.status != 410 {
 		return "", fmt.Errorf("the cancelling was not acknowledged: %d %v", cancelled.status, cancelled.err)
 	}
-	time.Sleep(time.Until(began.Add(freeze)))
+	time.Sleep(time.Until(wake))
 	if trouble {
 		d.signal(owner, syscall.SIGCONT)
 	}
@@ -179,3 +190,95 @@
 	}
 	return "", nil
 }
+
+// playLateStart: a worker leaves the start of a task unanswered, crashes, starts again under its id, and carries the
+// start out then.
+func playLateStart(d *deployment, trouble bool) (string, error) {
+	done := make(chan struct{})
+	defer close(done)
+	go d.traffic(done)
+	time.Sleep(2 * time.Second)
+	id := newJobID()
+	var mu sync.Mutex
+	var late *worker
+	for _, w := range d.workers {
+		w.mu.Lock()
+		w.leaveLate = func(task string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if !trouble || late != nil || !strings.HasPrefix(task, id+".") {
+				return false
+			}
+			late = w
+			return true
+		}
+		w.mu.Unlock()
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		answered <- d.request(d.front[0], "POST", id, jobBody(1, 6200, 3600*time.Millisecond), 10*time.Second)
+	}()
+	time.Sleep(400 * time.Millisecond)
+	mu.Lock()
+	w := late
+	mu.Unlock()
+	if trouble && w == nil {
+		return "", errors.New("no start of the job has arrived")
+	}
+	if trouble {
+		w.crash()
+		time.Sleep(1800 * time.Millisecond)
+		w.restart()
+	}
+	<-answered
+	time.Sleep(time.Second)
+	var runs []finishedRun
+	for _, w := range d.workers {
+		for _, r := range w.runs() {
+			if strings.HasPrefix(r.task, id+".") {
+				runs = append(runs, r)
+			}
+		}
+	}
+	for i, a := range runs {
+		for _, b := range runs[:i] {
+			if from, to := later(a.from, b.from), earlier(a.to, b.to); from.Before(to) {
+				return fmt.Sprintf("TWICE: run %d of %s in %s and run %d in %s were in progress at the same time for %d ms",
+					b.number, a.task, b.zone, a.number, a.zone, to.Sub(from).Milliseconds()), nil
+			}
+		}
+	}
+	return "", nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// playCancelBeforeSubmission: a job waits at an entry that stands still while another entry acknowledges its cancelling.
+func playCancelBeforeSubmission(d *deployment, trouble bool) (string, error) {
+	const freeze = 3500 * time.Millisecond
+	owner, other := d.front[0], d.front[1]
+	id := newJobID()
+	if trouble {
+		d.signal(owner, syscall.SIGSTOP)
+	}
+	began := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	answered := make(chan answer, 1)
+	go func() {
+		answered <- d.request(owner, "POST", id, jobBody(32, 6200, 1200*time.Millisecond), 20*time.Second)
+	}()
+	time.Sleep(3 * time.Second)
+	return d.judgeCancel(id, owner, other, trouble, began.Add(freeze), answered)
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -67,6 +67,26 @@
 	state    string
 	// starts are the accepted starts, in order.
 	starts []workerStart
+	ends   []finishedRun
+	down   bool // crashed: it answers nothing
+	// leaveLate is called with each start, and reports whether it is left unanswered; it is then kept in late.
+	leaveLate func(task string) bool
+	late      *lateStart
+}
+
+// lateStart is a start that was left unanswered, to be carried out later.
+type lateStart struct {
+	task, spec string
+	run, token uint64
+	deadline   int64
+	at         time.Time
+}
+
+// finishedRun is a run that has ended on the worker.
+type finishedRun struct {
+	task, zone string
+	number     uint64
+	from, to   time.Time
 }
 
 type workerStart struct {
@@ -108,6 +128,15 @@
 	client := http.Client{Timeout: time.Second}
 	for {
 		w.mu.Lock()
+		if w.down {
+			w.mu.Unlock()
+			select {
+			case <-w.closed:
+				return
+			case <-time.After(workerTick):
+			}
+			continue
+		}
 		w.sequence++
 		body, _ := json.Marshal(map[string]any{
 			"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": w.state, "cold_left_ms": 0,
@@ -162,6 +191,7 @@
 	w.ended = append(w.ended, workerEnd{w.lastEnd, r.task, r.number, how})
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	delete(w.running, r.task)
+	w.ends = append(w.ends, finishedRun{r.task, w.zone, r.number, r.began, time.Now()})
 	w.record.add("worker %s: %s run %d ends %s", w.zone, r.task, r.number, how)
 }
 
@@ -191,6 +221,15 @@
 	}
 	w.mu.Lock()
 	now := time.Now()
+	if w.down || request.URL.Path == names.Start && w.leaveLate != nil && w.leaveLate(call.Task) {
+		if !w.down {
+			w.late = &lateStart{call.Task, call.Spec, call.Run, call.Token, call.Until, now}
+			w.record.add("worker %s: %s run %d is left unanswered", w.zone, call.Task, call.Run)
+		}
+		w.mu.Unlock()
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	status, reason := http.StatusOK, ""
 	answer := map[string]any{}
 	switch {
@@ -281,6 +320,47 @@
 	answer["running"], answer["ended"] = running, ended
 }
 
+// crash ends the boot: everything that runs ends with it, and no call is answered.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = true
+	for _, r := range w.running {
+		w.ends = append(w.ends, finishedRun{r.task, w.zone, r.number, r.began, time.Now()})
+	}
+	clear(w.running)
+	w.record.add("worker %s crashes", w.zone)
+}
+
+// restart begins a new boot under the same id, which knows nothing of before. A start that was left unanswered is
+// carried out by it at once.
+func (w *worker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.born, w.token, w.lease, w.ended, w.lastEnd, w.sequence = now, 0, time.Time{}, nil, 0, 0
+	clear(w.highest)
+	w.down = false
+	w.record.add("worker %s is back under its id %s", w.zone, w.id)
+	if l := w.late; l != nil && l.token >= w.token {
+		w.token = l.token
+		status, reason := w.startRun(now, l.task, l.run, l.spec, l.deadline)
+		w.record.add("worker %s carries out the start of %s run %d, %.1f s late: %d %s", w.zone, l.task, l.run, now.Sub(l.at).Seconds(), status, reason)
+		w.late = nil
+	}
+}
+
+// runs returns the runs that have ended and those in progress, whose end is now.
+func (w *worker) runs() []finishedRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := append([]finishedRun{}, w.ends...)
+	for _, r := range w.running {
+		all = append(all, finishedRun{r.task, w.zone, r.number, r.began, time.Now()})
+	}
+	return all
+}
+
 // startsSince returns the starts of the worker later than at whose task has the prefix.
 func (w *worker) startsSince(at time.Time, prefix string) (found []workerStart) {
 	w.mu.Lock()
