--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -97,7 +97,7 @@
 // playEvacuation: a zone is evacuated, taken back and evacuated again, while one control machine stands still. The
 // order that takes the zone back reaches that machine first and is sent again to another one.
 func playEvacuation(d *deployment, trouble bool) (string, error) {
-	const freeze = 2800 * time.Millisecond
+	const freeze = 2 * time.Second
 	zone, frozen := "orebro", d.core[1]
 	done := make(chan struct{})
 	defer close(done)
@@ -114,7 +114,7 @@
 	if err := d.order("POST", names.TakeBack+zone, nil, frozen); err != nil {
 		return "", err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(700 * time.Millisecond)
 	if err := d.order("POST", names.Evacuate+zone, nil, d.core[2]); err != nil {
 		return "", err
 	}
