--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -30,13 +30,12 @@
 
 // taskRun is a run on the worker.
 type taskRun struct {
-	task     string
-	number   uint64
-	need     int64
-	endsAt   time.Time
-	stopped  bool
-	began    time.Time
-	fromText string
+	task    string
+	number  uint64
+	need    int64 // thousandths of a core
+	began   time.Time
+	endsAt  time.Time
+	stopped bool
 }
 
 // workerEnd is a row of the list of ends.
