Evacuation: a late order changes nothing

Cause: requests to start or end an evacuation carry no version, and EvacuateZone set the state of a zone whatever had changed since. A control member that woke from a pause of 2 s read the order that ends an evacuation from its socket and carried it out after the newer order had been acknowledged by another member (event 1251 at revision 12 after "zone out" at revision 11). A check when the request is read would not be enough: the process can be paused after it, and so can the leader to which it is forwarded.

Change: SetZoneIfUnchanged takes effect only if the zone has not changed since a given revision. The state machine checks that when it applies the command, and an order counts as a change also if the zone is in the wanted state already. The platform's operators get the revision and a change ID by a redirect, which only an operator that still waits follows. EvacuateZone is still read from the logs of earlier releases.

The reference model of the catalog has the new operation; TestCompactStepsLeadToTheSameState draws it instead of EvacuateZone, whose step is the same.

--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -62,6 +62,8 @@
 		"A change of the configuration is on the disks of a majority and will not be lost, or is not newer than the current configuration.")
 	OperatorRequestNotAcknowledged = define(1252, zapcore.InfoLevel, "operator request not acknowledged",
 		"The request is invalid, or could not be confirmed in time and may be resent; the field error gives the reason.")
+	OperatorRequestRedirected = define(1253, zapcore.InfoLevel, "operator request redirected",
+		"A request without a version was redirected to a path with a revision and changed nothing yet; it is carried out when the operator follows.")
 )
 
 // Events of the entry role: 1300 to 1349.
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -4,8 +4,8 @@
 // process that follows the log has the same state.
 //
 // Commands of operators contain a change id and the expected revision. Commands of processes
-// contain neither and are idempotent: they announce and evacuate availability zones, add entries to
-// the list of entries or remove them, and put a routing configuration in force.
+// contain neither and are idempotent: they announce availability zones, add entries to the list of
+// entries or remove them, and put a routing configuration in force.
 package catalog
 
 import (
--- a/internal/version/catalog/catalog_test.go
+++ b/internal/version/catalog/catalog_test.go
@@ -63,7 +63,11 @@
 		return failure.InvalidArgument, n.revision
 	}
 	outcome := referenceOutcome{command: c, kind: failure.RevisionConflict}
-	if c.ExpectedRevision >= n.operatorRevision && c.ExpectedRevision <= n.revision {
+	last := n.operatorRevision
+	if o, ok := c.Operation.(catalog.SetZoneIfUnchanged); ok {
+		last = n.zones[o.Name].Revision
+	}
+	if c.ExpectedRevision >= last && c.ExpectedRevision <= n.revision {
 		before := n.revision
 		outcome.kind = n.run(c.Operation)
 		if n.revision > before {
@@ -123,6 +127,9 @@
 	case catalog.EvacuateZone:
 		old := n.zones[o.Name]
 		return put(n, n.zones, o.Name, old, catalog.AvailabilityZone{Name: o.Name, Out: o.Out, Revision: old.Revision}, zone)
+	case catalog.SetZoneIfUnchanged:
+		n.revision++
+		n.zones[o.Name] = zone(catalog.AvailabilityZone{Name: o.Name, Out: o.Out})
 	case catalog.PutRouting:
 		if o.Routing.Version > n.routing.Version {
 			n.routing = o.Routing
@@ -172,7 +179,7 @@
 func drawOperation(t *rapid.T) catalog.Operation {
 	name := rapid.SampledFrom([]string{"a", "b", "Örebro", "d"}).Draw(t, "name")
 	number := rapid.IntRange(1, 3).Draw(t, "number")
-	switch rapid.IntRange(1, 10).Draw(t, "kind") {
+	switch rapid.IntRange(1, 11).Draw(t, "kind") {
 	case 1:
 		return catalog.PutClass{Class: catalog.Class{Name: name, Upstream: "kitchen", AnswerWithin: time.Second, Share: float64(number) / 4}}
 	case 2:
@@ -191,6 +198,8 @@
 		return catalog.EvacuateZone{Name: name, Out: number > 1}
 	case 9:
 		return catalog.PutRouting{Routing: catalog.Routing{Version: uint64(number), Document: []byte(name)}}
+	case 10:
+		return catalog.SetZoneIfUnchanged{Name: name, Out: number > 1}
 	default:
 		return catalog.LeaveEntry{ID: name, Incarnation: uint64(number)}
 	}
--- a/internal/version/catalog/command.go
+++ b/internal/version/catalog/command.go
@@ -57,8 +57,11 @@
 }
 
 // FromOperator reports whether the command is one of operators, with a change id and an expected
-// revision. PutRouting and EvacuateZone are commands of processes, although operators request them.
-func (c Command) FromOperator() bool { return c.Operation.Kind() <= KindSetZone }
+// revision. PutRouting is a command of processes, although operators request it.
+func (c Command) FromOperator() bool {
+	kind := c.Operation.Kind()
+	return kind <= KindSetZone || kind == KindSetZoneIfUnchanged
+}
 
 // Validate checks every field of the command, independent of any state.
 func (c Command) Validate() error {
@@ -158,6 +161,8 @@
 		return decodeAs[PutRouting](body)
 	case KindEvacuateZone:
 		return decodeAs[EvacuateZone](body)
+	case KindSetZoneIfUnchanged:
+		return decodeAs[SetZoneIfUnchanged](body)
 	default:
 		return nil, invalid("run the same release on all processes", "unknown operation %d", kind)
 	}
--- a/internal/version/catalog/compact_test.go
+++ b/internal/version/catalog/compact_test.go
@@ -48,9 +48,13 @@
 		for i := range rapid.IntRange(1, 20).Draw(t, "commands") {
 			var operation catalog.Operation = routingVersion(uint64(rapid.IntRange(1, 12).Draw(t, "version")), i%3)
 			if rapid.Bool().Draw(t, "zone") {
-				operation = catalog.EvacuateZone{Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), Out: rapid.Bool().Draw(t, "out")}
+				operation = catalog.SetZoneIfUnchanged{Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), Out: rapid.Bool().Draw(t, "out")}
 			}
-			data, err := catalog.Command{Operation: operation}.Encode()
+			command := catalog.Command{Operation: operation}
+			if command.FromOperator() {
+				command.ChangeID, command.ExpectedRevision = fmt.Sprint("c", i), m.State().Revision
+			}
+			data, err := command.Encode()
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/version/catalog/machine.go
+++ b/internal/version/catalog/machine.go
@@ -117,7 +117,7 @@
 }
 
 func (m *Machine) applyOperatorCommand(command Command) Outcome {
-	if command.ExpectedRevision < m.operatorRevision || command.ExpectedRevision > m.state.Revision {
+	if command.ExpectedRevision < m.lastConflicting(command.Operation) || command.ExpectedRevision > m.state.Revision {
 		return m.reject(failure.New(failure.RevisionConflict,
 			"read the configuration again, check that the change is still wanted, and send it with the current revision and a new change id",
 			"expected revision %d, but the current revision is %d", command.ExpectedRevision, m.state.Revision))
@@ -130,6 +130,16 @@
 	return outcome
 }
 
+// lastConflicting returns the revision of the last change that conflicts with an operator's operation.
+// The expected revision of its command must not be lower.
+func (m *Machine) lastConflicting(operation Operation) uint64 {
+	if o, ok := operation.(SetZoneIfUnchanged); ok {
+		zone, _ := m.state.AvailabilityZone(o.Name)
+		return zone.Revision
+	}
+	return m.operatorRevision
+}
+
 // applyOperation applies an operation. An operation without effect succeeds and creates no revision.
 func (m *Machine) applyOperation(operation Operation) Outcome {
 	if err := operation.check(m.state); err != nil {
--- a/internal/version/catalog/operation.go
+++ b/internal/version/catalog/operation.go
@@ -11,8 +11,8 @@
 // Kind is the number of an operation in the log and on the wire. Numbers are never reused.
 type Kind uint8
 
-// The kinds of operation. Those up to KindSetZone belong to commands of operators, with a change id and
-// an expected revision; the later ones belong to commands of processes.
+// The kinds of operation. Those up to KindSetZone and KindSetZoneIfUnchanged belong to commands of
+// operators, with a change id and an expected revision; the others belong to commands of processes.
 const (
 	KindPutClass Kind = iota + 1
 	KindRetireClass
@@ -24,10 +24,12 @@
 	KindLeaveEntry
 	KindPutRouting
 	KindEvacuateZone
+	KindSetZoneIfUnchanged
 )
 
 // Operation is one change of the configuration: PutClass, RetireClass, PutOrganisation,
-// RetireOrganisation, SetZone, AnnounceZone, JoinEntry, LeaveEntry, PutRouting or EvacuateZone.
+// RetireOrganisation, SetZone, AnnounceZone, JoinEntry, LeaveEntry, PutRouting, EvacuateZone or
+// SetZoneIfUnchanged.
 type Operation interface {
 	// Kind returns the number of the operation.
 	Kind() Kind
@@ -291,7 +293,8 @@
 // ForAgents reports whether the step affects the AgentView. The view contains only the zones that are
 // out of service, and an announced zone is in service.
 func (s Step) ForAgents() bool {
-	return s.Kind == KindSetZone || s.Kind == KindJoinEntry || s.Kind == KindLeaveEntry || s.Kind == KindEvacuateZone
+	return s.Kind == KindSetZone || s.Kind == KindJoinEntry || s.Kind == KindLeaveEntry || s.Kind == KindEvacuateZone ||
+		s.Kind == KindSetZoneIfUnchanged
 }
 
 // CompactSteps returns the steps without those whose routing configuration a later one of them replaces.
--- a/internal/version/catalog/routing.go
+++ b/internal/version/catalog/routing.go
@@ -74,39 +74,19 @@
 	Routing Routing
 }
 
-// EvacuateZone takes an availability zone out of service or returns it to service. Unlike SetZone
-// it has no expected revision, is idempotent and adds an unknown zone.
-type EvacuateZone struct {
-	_    struct{} `cbor:",toarray"`
-	Name string
-	Out  bool
-}
-
 // Kind implements Operation.
-func (PutRouting) Kind() Kind   { return KindPutRouting }
-func (EvacuateZone) Kind() Kind { return KindEvacuateZone }
+func (PutRouting) Kind() Kind { return KindPutRouting }
 
 // Validate implements Operation.
-func (o PutRouting) Validate() error   { return o.Routing.Validate() }
-func (o EvacuateZone) Validate() error { return ValidateName("availability zone", o.Name) }
+func (o PutRouting) Validate() error { return o.Routing.Validate() }
 
 func (PutRouting) check(*State) error { return nil }
 
-func (o EvacuateZone) check(s *State) error {
-	return checkLimit("availability zones", s.AvailabilityZones, o.Name, MaxAvailabilityZones)
-}
-
 func (o PutRouting) isNoOp(s *State) bool {
 	return s.Routing != nil && s.Routing.Version >= o.Routing.Version
 }
 
-func (o EvacuateZone) isNoOp(s *State) bool {
-	zone, known := s.AvailabilityZone(o.Name)
-	return known && zone.Out == o.Out
-}
-
-func (o PutRouting) apply(s *State)   { s.Routing = &o.Routing }
-func (o EvacuateZone) apply(s *State) { SetZone(o).apply(s) }
+func (o PutRouting) apply(s *State) { s.Routing = &o.Routing }
 
 // Validate returns InvalidArgument unless every route can be served: its service exists, no other
 // route has the same host and prefix, and its numbers are in range.
