Configuration: an accepted change supersedes earlier ones also without effect

What callers would see: an operator gets no response to a change, changes its mind and sends the opposite one, which is accepted; later the first one takes effect all the same.

Cause: a change conflicts with changes since the revision that its operator has read, but a change that had no effect created no revision. Here the newer one found the state that it asked for, so the earlier one, which had waited at a paused process, still named the newest revision.

Change: accepted commands of operators always create a revision. They are encoded with version 2, and commands of version 1 keep the former rule: members that replay them from their log after an upgrade get the revisions that the other members have. The digest that recognises a resent change does not depend on the version. SetZoneIfUnchanged no longer needs a rule of its own.

--- a/internal/process/admin/configuration.go
+++ b/internal/process/admin/configuration.go
@@ -18,7 +18,7 @@
 	AnswerWithinMS  float64 `json:"answer_within_ms"`
 	Share           float64 `json:"share"`
 	Retired         bool    `json:"retired"`
-	ChangedRevision uint64  `json:"changed_revision"` // revision of its last change
+	ChangedRevision uint64  `json:"changed_revision"` // revision of the last accepted change, also if that had no effect
 }
 
 // Classes is the response to GET /v1/classes.
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -26,7 +26,7 @@
 	AnswerWithin time.Duration // target: maximum response time
 	Share        float64       // target: fraction of responses that must arrive within AnswerWithin, above 0 and up to 1
 	Retired      bool
-	Revision     uint64 // revision of its last change
+	Revision     uint64 // revision of the last accepted change, also if that had no effect
 }
 
 // Organisation is a customer that shares the installation.
@@ -35,7 +35,7 @@
 	Name     string
 	Slots    int // quota: tasks running concurrently, over all entries; zero means no quota
 	Retired  bool
-	Revision uint64 // revision of its last change
+	Revision uint64 // revision of the last accepted change, also if that had no effect
 }
 
 // AvailabilityZone is a zone that operators may take out of service.
@@ -43,7 +43,7 @@
 	_        struct{} `cbor:",toarray"`
 	Name     string
 	Out      bool
-	Revision uint64 // revision of its last change
+	Revision uint64 // revision of the last accepted change, also if that had no effect
 }
 
 // Entry is an entry process, which serves callers and grants claims.
--- a/internal/version/catalog/catalog_test.go
+++ b/internal/version/catalog/catalog_test.go
@@ -70,6 +70,9 @@
 	if c.ExpectedRevision >= last && c.ExpectedRevision <= n.revision {
 		before := n.revision
 		outcome.kind = n.run(c.Operation)
+		if outcome.kind == "" && n.revision == before {
+			n.touch(c.Operation)
+		}
 		if n.revision > before {
 			n.operatorRevision = n.revision
 		}
@@ -87,6 +90,33 @@
 	return ""
 }
 
+// touch applies an operation of an operator that has no effect: it creates a revision.
+func (n *referenceModel) touch(operation catalog.Operation) {
+	n.revision++
+	switch o := operation.(type) {
+	case catalog.PutClass:
+		c := n.classes[o.Class.Name]
+		c.Revision = n.revision
+		n.classes[c.Name] = c
+	case catalog.RetireClass:
+		c := n.classes[o.Name]
+		c.Revision = n.revision
+		n.classes[c.Name] = c
+	case catalog.PutOrganisation:
+		c := n.organisations[o.Organisation.Name]
+		c.Revision = n.revision
+		n.organisations[c.Name] = c
+	case catalog.RetireOrganisation:
+		c := n.organisations[o.Name]
+		c.Revision = n.revision
+		n.organisations[c.Name] = c
+	case catalog.SetZone:
+		c := n.zones[o.Name]
+		c.Revision = n.revision
+		n.zones[o.Name] = c
+	}
+}
+
 func (n *referenceModel) run(operation catalog.Operation) failure.Kind {
 	class := func(c catalog.Class) catalog.Class { c.Revision = n.revision; return c }
 	organisation := func(o catalog.Organisation) catalog.Organisation { o.Revision = n.revision; return o }
--- a/internal/version/catalog/command.go
+++ b/internal/version/catalog/command.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// commandVersion is incremented when the encoding of commands changes.
-	commandVersion = 1
+	// firstCommandVersion is the version of the commands of processes, and of those of operators in earlier
+	// releases: such a command creates no revision if it has no effect.
+	firstCommandVersion = 1
+	// operatorCommandVersion is the version of the commands of operators: an accepted command creates a
+	// revision also if it has no effect.
+	operatorCommandVersion = 2
 	// MaxCommandBytes is the maximum size of an encoded command other than PutRouting.
 	MaxCommandBytes = 4096
 )
@@ -91,36 +95,49 @@
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
+	if c.FromOperator() {
+		return c.encode(operatorCommandVersion)
+	}
+	return c.encode(firstCommandVersion)
+}
+
+func (c Command) encode(version uint8) ([]byte, error) {
 	body, err := encodeOperation(c.Operation)
 	if err != nil {
 		return nil, err
 	}
 	return encodingMode.Marshal(encodedCommand{
-		Version: commandVersion, ChangeID: c.ChangeID, ExpectedRevision: c.ExpectedRevision, Kind: c.Operation.Kind(), Body: body,
+		Version: version, ChangeID: c.ChangeID, ExpectedRevision: c.ExpectedRevision, Kind: c.Operation.Kind(), Body: body,
 	})
 }
 
 // DecodeCommand decodes and validates a command.
 func DecodeCommand(data []byte) (Command, error) {
+	command, _, err := decodeCommand(data)
+	return command, err
+}
+
+// decodeCommand decodes and validates a command. It also returns the version of its encoding.
+func decodeCommand(data []byte) (Command, uint8, error) {
 	if len(data) > maxRoutingCommandBytes {
-		return Command{}, tooLarge(data, maxRoutingCommandBytes)
+		return Command{}, 0, tooLarge(data, maxRoutingCommandBytes)
 	}
 	var encoded encodedCommand
 	if err := decodingMode.Unmarshal(data, &encoded); err != nil {
-		return Command{}, malformed("command", err)
+		return Command{}, 0, malformed("command", err)
 	}
 	if limit := commandLimit(encoded.Kind); len(data) > limit {
-		return Command{}, tooLarge(data, limit)
+		return Command{}, 0, tooLarge(data, limit)
 	}
-	if encoded.Version != commandVersion {
-		return Command{}, invalid("run the same release on all control members", "command has version %d, this release reads %d", encoded.Version, commandVersion)
+	if encoded.Version < firstCommandVersion || encoded.Version > operatorCommandVersion {
+		return Command{}, 0, invalid("run the same release on all control members", "command has version %d, this release reads %d to %d", encoded.Version, firstCommandVersion, operatorCommandVersion)
 	}
 	operation, err := decodeOperation(encoded.Kind, encoded.Body)
 	if err != nil {
-		return Command{}, err
+		return Command{}, 0, err
 	}
 	c := Command{ChangeID: encoded.ChangeID, ExpectedRevision: encoded.ExpectedRevision, Operation: operation}
-	return c, c.Validate()
+	return c, encoded.Version, c.Validate()
 }
 
 func tooLarge(data []byte, limit int) error {
--- a/internal/version/catalog/evacuation.go
+++ b/internal/version/catalog/evacuation.go
@@ -2,8 +2,7 @@
 
 // SetZoneIfUnchanged takes an availability zone out of service or returns it to service, unless the zone
 // was changed after the expected revision. Unlike SetZone, it does not conflict with other changes of
-// operators and adds an unknown zone. It always counts as a change of the zone, also if the zone is in
-// the wanted state already: an earlier command that is applied late then conflicts with it.
+// operators and adds an unknown zone.
 type SetZoneIfUnchanged struct {
 	_    struct{} `cbor:",toarray"`
 	Name string
@@ -33,7 +32,7 @@
 
 func (o EvacuateZone) check(s *State) error { return SetZoneIfUnchanged(o).check(s) }
 
-func (SetZoneIfUnchanged) isNoOp(*State) bool { return false }
+func (o SetZoneIfUnchanged) isNoOp(s *State) bool { return EvacuateZone(o).isNoOp(s) }
 
 func (o EvacuateZone) isNoOp(s *State) bool {
 	zone, known := s.AvailabilityZone(o.Name)
--- a/internal/version/catalog/machine.go
+++ b/internal/version/catalog/machine.go
@@ -72,18 +72,18 @@
 // Apply applies one encoded command from the log. Data that is not a valid command is rejected and
 // does not change the state machine.
 func (m *Machine) Apply(data []byte) Outcome {
-	command, err := DecodeCommand(data)
+	command, version, err := decodeCommand(data)
 	if err != nil {
 		return m.reject(err)
 	}
 	if !command.FromOperator() {
-		return m.applyOperation(command.Operation)
+		return m.applyOperation(command.Operation, false)
 	}
-	sum := digestOf(data)
+	sum := digestOf(command)
 	if recorded, found := m.outcomes[command.ChangeID]; found {
 		return m.outcomeOfResent(command.ChangeID, recorded, sum)
 	}
-	outcome := m.applyOperatorCommand(command)
+	outcome := m.applyOperatorCommand(command, version >= operatorCommandVersion)
 	m.recordOutcome(command.ChangeID, recordedOutcome{digest: sum, outcome: outcome})
 	return outcome
 }
@@ -99,10 +99,13 @@
 	if !found {
 		return Outcome{}, false
 	}
-	return m.outcomeOfResent(command.ChangeID, recorded, digestOf(data)), true
+	return m.outcomeOfResent(command.ChangeID, recorded, digestOf(command)), true
 }
 
-func digestOf(data []byte) digest {
+// digestOf returns the digest of a command, which does not depend on the version of its encoding: a
+// command may be resent after an upgrade.
+func digestOf(command Command) digest {
+	data, _ := command.encode(firstCommandVersion) // succeeds, because the command was decoded
 	sum := sha256.Sum256(data)
 	return digest(sum[:digestBytes])
 }
@@ -116,14 +119,15 @@
 	return m.reject(invalid("use a new change id for a new change", "change id %q was used for another change", id))
 }
 
-func (m *Machine) applyOperatorCommand(command Command) Outcome {
+// applyOperatorCommand applies a command of an operator. The parameter always is that of applyOperation.
+func (m *Machine) applyOperatorCommand(command Command, always bool) Outcome {
 	if command.ExpectedRevision < m.lastConflicting(command.Operation) || command.ExpectedRevision > m.state.Revision {
 		return m.reject(failure.New(failure.RevisionConflict,
 			"read the configuration again, check that the change is still wanted, and send it with the current revision and a new change id",
 			"expected revision %d, but the current revision is %d", command.ExpectedRevision, m.state.Revision))
 	}
 	before := m.state.Revision
-	outcome := m.applyOperation(command.Operation)
+	outcome := m.applyOperation(command.Operation, always)
 	if m.state.Revision != before {
 		m.operatorRevision = m.state.Revision
 	}
@@ -140,12 +144,14 @@
 	return m.operatorRevision
 }
 
-// applyOperation applies an operation. An operation without effect succeeds and creates no revision.
-func (m *Machine) applyOperation(operation Operation) Outcome {
+// applyOperation applies an operation. An operation without effect succeeds; it creates a revision only
+// if always is true. Commands of operators do so, because an earlier command with the same expected
+// revision that arrives later must conflict with an accepted one.
+func (m *Machine) applyOperation(operation Operation, always bool) Outcome {
 	if err := operation.check(m.state); err != nil {
 		return m.reject(err)
 	}
-	if operation.isNoOp(m.state) {
+	if !always && operation.isNoOp(m.state) {
 		return Outcome{Revision: m.state.Revision}
 	}
 	body, err := encodeOperation(operation)
