Control members: reject a change of the group that is based on an earlier one

What callers would see: an operator removes a control member, gets no response within the 6 s of a call, and later, when a paused process wakes up, the member is removed all the same, also after other changes.

Cause: changes of the members named no revision. The process that reads the request, the entry that forwards it and the leader that gets it from a follower carry it out whenever they wake up.

Change: a change names the last log entry that was committed when it was requested, and the leader rejects it if the members have changed after that entry, in the same step in which it would append it. GET /v1/members returns the revision, and the command-line tool sends it. A request without one gets it before the check that its caller is connected and that the process was not paused in the last second. AdminCall cannot get a field without breaking the sessions with processes of earlier releases, so a change is a message of its own.

--- a/internal/clock/stalls.go
+++ b/internal/clock/stalls.go
@@ -7,7 +7,7 @@
 
 const (
 	// StallCheckInterval is the time between two calls of Stalls.Observe.
-	StallCheckInterval = 50 * time.Millisecond
+	StallCheckInterval = 100 * time.Millisecond
 	// stallThreshold is the time between two observations from which the process counts as stalled. It
 	// is well below the second for which callers wait for a response, and above the delays of a process
 	// that shares its processor.
@@ -19,7 +19,7 @@
 // Stalls records when the process last stalled, that is, did not run for stallThreshold or more: it was
 // stopped or starved of processor time, or its VM was suspended. A request that is read soon after a
 // stall may have waited in its connection for the whole stall, and nothing in the request shows it.
-// The zero value is ready for use. The methods may be called on any goroutine, Observe on one only.
+// The zero value is ready for use; a stall is detected from the first observation on. The methods may be called on any goroutine, Observe on one only.
 type Stalls struct {
 	observed atomic.Int64 // time of the latest observation, in nanoseconds since boot; zero before the first one
 	ended    atomic.Int64 // end of the latest stall, in nanoseconds since boot; zero if there was none
--- a/internal/command/inspection.go
+++ b/internal/command/inspection.go
@@ -223,19 +223,31 @@
 	}
 	path := func() string { return "/v1/members/" + url.PathEscape(name) }
 	member("replace", "Replace a member whose disk is lost; the process that now runs under its name takes its place.").Action(func(*kingpin.ParseContext) error {
-		return t.memberCall("POST", path()+"/replace", nil)
+		return t.memberCall("POST", path()+"/replace", &memberBody{})
 	})
 	add := member("add", "Add a member as a learner; it votes once it has caught up.")
 	add.Arg("address", "Address of the member.").Required().StringVar(&address)
 	add.Action(func(*kingpin.ParseContext) error {
-		return t.memberCall("PUT", path(), map[string]string{"address": address})
+		return t.memberCall("PUT", path(), &memberBody{Address: address})
 	})
 	member("remove", "Remove a member.").Action(func(*kingpin.ParseContext) error {
-		return t.memberCall("DELETE", path(), nil)
+		return t.memberCall("DELETE", path(), &memberBody{})
 	})
 }
 
-func (t *invocation) memberCall(method, path string, body any) error {
+// memberBody is the body of a change of the control members.
+type memberBody struct {
+	Address          string `json:"address,omitempty"`
+	ExpectedRevision uint64 `json:"expected_revision"`
+}
+
+// memberCall sends a change that is based on the current members.
+func (t *invocation) memberCall(method, path string, body *memberBody) error {
+	var current revisionResponse
+	if err := t.client.call("GET", "/v1/members", nil, &current); err != nil {
+		return err
+	}
+	body.ExpectedRevision = current.Revision
 	if err := t.client.call(method, path, body, nil); err != nil {
 		return err
 	}
--- a/internal/connection/wire/control.go
+++ b/internal/connection/wire/control.go
@@ -22,6 +22,7 @@
 	TypeProposeResult  Type = 16
 	TypeAdminCall      Type = 17
 	TypeAdminResult    Type = 18
+	TypeMemberChange   Type = 19
 	TypeReplication    Type = 60
 	TypePresence       Type = 61
 	TypeMemberList     Type = 62
@@ -101,15 +102,16 @@
 
 // The admin calls.
 const (
-	AdminStatus      AdminKind = iota + 1 // status of the installation, merged from all members
-	AdminLocalStatus                      // status as known to the receiving member alone
-	AdminAdd                              // add the member Name at Address
-	AdminRemove                           // remove the member Name
-	AdminReplace                          // replace the member Name with the process of the same name that has a new data folder
+	AdminStatus          AdminKind = iota + 1 // status of the installation, merged from all members
+	AdminLocalStatus                          // status as known to the receiving member alone
+	AdminAdd                                  // add the member Name at Address
+	AdminRemove                               // remove the member Name
+	AdminReplace                              // replace the member Name with the process of the same name that has a new data folder
+	AdminMembersRevision                      // revision of the group of members as known to the receiving member
 )
 
-// AdminCall asks a control member for the status or to change the group of members. A member that
-// is not the leader forwards changes to the leader once; Forwarded marks such a call.
+// AdminCall asks a control member for the status. Name, Address and Forwarded are not used: processes of
+// earlier releases changed the group of members with it, without a revision, and such calls are rejected.
 type AdminCall struct {
 	_         struct{} `cbor:",toarray"`
 	ID        uint64
@@ -119,7 +121,22 @@
 	Forwarded bool
 }
 
-// AdminResult is the reply to AdminCall. Status is set for AdminStatus and AdminLocalStatus.
+// MemberChange asks a control member to change the group of members. A member that is not the leader
+// forwards it to the leader once; Forwarded marks such a call. The reply is an AdminResult.
+type MemberChange struct {
+	_         struct{} `cbor:",toarray"`
+	ID        uint64
+	Kind      AdminKind // AdminAdd, AdminRemove or AdminReplace
+	Name      string
+	Address   string // for AdminAdd
+	Forwarded bool
+	// Expected is the revision of the group on which the change is based, from a reply to
+	// AdminMembersRevision: the change is rejected if the group has changed since.
+	Expected uint64
+}
+
+// AdminResult is the reply to AdminCall and MemberChange. Status is set for AdminStatus and
+// AdminLocalStatus; for AdminMembersRevision it has only the Revision, which is that of the group.
 type AdminResult struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64
@@ -200,6 +217,7 @@
 func (*ProposeResult) MessageType() Type  { return TypeProposeResult }
 func (*AdminCall) MessageType() Type      { return TypeAdminCall }
 func (*AdminResult) MessageType() Type    { return TypeAdminResult }
+func (*MemberChange) MessageType() Type   { return TypeMemberChange }
 func (*Replication) MessageType() Type    { return TypeReplication }
 func (*Presence) MessageType() Type       { return TypePresence }
 
@@ -211,6 +229,7 @@
 	TypeProposeResult:  func() Message { return new(ProposeResult) },
 	TypeAdminCall:      func() Message { return new(AdminCall) },
 	TypeAdminResult:    func() Message { return new(AdminResult) },
+	TypeMemberChange:   func() Message { return new(MemberChange) },
 	TypeReplication:    func() Message { return new(Replication) },
 	TypePresence:       func() Message { return new(Presence) },
 	TypeMemberList:     func() Message { return new(MemberList) },
--- a/internal/process/admin/admin.go
+++ b/internal/process/admin/admin.go
@@ -29,8 +29,11 @@
 	Propose(ctx context.Context, command catalog.Command) (catalog.Outcome, error)
 	// Status returns the status of the installation.
 	Status(ctx context.Context) (*wire.ControlStatus, error)
-	// ChangeMember adds, removes or replaces a control member. Only adding uses the address.
-	ChangeMember(ctx context.Context, kind wire.AdminKind, name, address string) error
+	// MembersRevision returns the revision of the group of control members.
+	MembersRevision(ctx context.Context) (uint64, error)
+	// ChangeMember adds, removes or replaces a control member. The error is RevisionConflict if the group
+	// has changed since the expected revision.
+	ChangeMember(ctx context.Context, change wire.MemberChange) error
 }
 
 // BackendProvider is a role that has a Backend.
@@ -40,6 +43,9 @@
 type API struct {
 	Backend Backend
 	Tokens  *auth.Tokens
+	// StalledRecently reports whether a request that is read now may have waited while the process did
+	// not run.
+	StalledRecently func() bool
 }
 
 // Routes registers the paths of the API.
@@ -137,11 +143,18 @@
 		return change, httpapi.ReadJSON(request, &change)
 	}
 	change.ChangeID = string(request.QueryArgs().Peek("change_id"))
-	text := string(request.QueryArgs().Peek("expected_revision"))
+	var err error
+	change.ExpectedRevision, err = readExpectedRevision(request)
+	return change, err
+}
+
+const parameterExpectedRevision = "expected_revision"
+
+func readExpectedRevision(request *fasthttp.RequestCtx) (uint64, error) {
+	text := string(request.QueryArgs().Peek(parameterExpectedRevision))
 	revision, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return change, failure.New(failure.InvalidArgument, "send expected_revision and change_id in a JSON body or as query parameters", "expected_revision %q is not a number", text)
+		return 0, failure.New(failure.InvalidArgument, "send the fields of the change in a JSON body or as query parameters", "expected_revision %q is not a number", text)
 	}
-	change.ExpectedRevision = revision
-	return change, nil
+	return revision, nil
 }
--- a/internal/process/admin/members.go
+++ b/internal/process/admin/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -26,8 +27,9 @@
 
 // Members is the response to GET /v1/members.
 type Members struct {
-	Leader  string   `json:"leader"` // empty during an election
-	Members []Member `json:"members"`
+	Leader   string   `json:"leader"`   // empty during an election
+	Revision uint64   `json:"revision"` // of the group, not of the configuration
+	Members  []Member `json:"members"`
 }
 
 // Process is the JSON representation of a process that subscribes to the configuration.
@@ -52,9 +54,13 @@
 	Processes       []Process `json:"processes"`
 }
 
-// MemberBody is the body of PUT /v1/members/{name}.
+// MemberBody is the body of changes of the members. DELETE and POST need none: they accept
+// expected_revision as a query parameter too.
 type MemberBody struct {
-	Address string `json:"address"` // host:port
+	Address string `json:"address,omitempty"` // host:port, for PUT only
+	// ExpectedRevision is the revision of GET /v1/members on which the change is based. Without it, the
+	// change is based on the revision at its arrival.
+	ExpectedRevision uint64 `json:"expected_revision,omitempty"`
 }
 
 // MemberChanged is the response to a change of the members.
@@ -78,11 +84,16 @@
 }
 
 func (a *API) members(ctx context.Context, _ *fasthttp.RequestCtx, _ string) (any, error) {
+	// The revision is read first, so that it is not newer than the list.
+	revision, err := a.Backend.MembersRevision(ctx)
+	if err != nil {
+		return nil, err
+	}
 	status, err := a.Backend.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return Members{Leader: status.Leader, Members: toMembers(status)}, nil
+	return Members{Leader: status.Leader, Revision: revision, Members: toMembers(status)}, nil
 }
 
 func (a *API) status(ctx context.Context, _ *fasthttp.RequestCtx, _ string) (any, error) {
@@ -105,27 +116,63 @@
 }
 
 func (a *API) addMember(ctx context.Context, request *fasthttp.RequestCtx, name string) (any, error) {
-	var body MemberBody
-	if err := httpapi.ReadJSON(request, &body); err != nil {
+	body, err := readMemberBody(request)
+	if err != nil {
 		return nil, err
 	}
 	if _, _, err := net.SplitHostPort(body.Address); err != nil {
 		return nil, failure.New(failure.InvalidArgument, "use host:port", "address of member %q is %q", name, body.Address)
 	}
-	return a.changeMember(ctx, wire.AdminAdd, name, body.Address)
+	return a.changeMember(ctx, request, body, wire.MemberChange{Kind: wire.AdminAdd, Name: name, Address: body.Address})
 }
 
-func (a *API) removeMember(ctx context.Context, _ *fasthttp.RequestCtx, name string) (any, error) {
-	return a.changeMember(ctx, wire.AdminRemove, name, "")
+func (a *API) removeMember(ctx context.Context, request *fasthttp.RequestCtx, name string) (any, error) {
+	body, err := readMemberBody(request)
+	if err != nil {
+		return nil, err
+	}
+	return a.changeMember(ctx, request, body, wire.MemberChange{Kind: wire.AdminRemove, Name: name})
 }
 
-func (a *API) replaceMember(ctx context.Context, _ *fasthttp.RequestCtx, name string) (any, error) {
-	return a.changeMember(ctx, wire.AdminReplace, name, "")
+func (a *API) replaceMember(ctx context.Context, request *fasthttp.RequestCtx, name string) (any, error) {
+	body, err := readMemberBody(request)
+	if err != nil {
+		return nil, err
+	}
+	return a.changeMember(ctx, request, body, wire.MemberChange{Kind: wire.AdminReplace, Name: name})
 }
 
-func (a *API) changeMember(ctx context.Context, kind wire.AdminKind, name, address string) (any, error) {
-	if err := a.Backend.ChangeMember(ctx, kind, name, address); err != nil {
+func readMemberBody(request *fasthttp.RequestCtx) (MemberBody, error) {
+	var body MemberBody
+	if len(request.PostBody()) > 0 {
+		return body, httpapi.ReadJSON(request, &body)
+	}
+	if !request.QueryArgs().Has(parameterExpectedRevision) {
+		return body, nil
+	}
+	var err error
+	body.ExpectedRevision, err = readExpectedRevision(request)
+	return body, err
+}
+
+// changeMember carries out a change. If the change names no revision, it gets one before the check that
+// its caller still waits: what the caller sends after the check leads to a conflict with this change, even
+// if a process is paused between the check and the effect.
+func (a *API) changeMember(ctx context.Context, request *fasthttp.RequestCtx, body MemberBody, change wire.MemberChange) (any, error) {
+	change.Expected = body.ExpectedRevision
+	if change.Expected == 0 {
+		revision, err := a.Backend.MembersRevision(ctx)
+		if err != nil {
+			return nil, err
+		}
+		change.Expected = revision
+		if httpapi.HasDisconnected(request.Conn()) || a.StalledRecently() {
+			return nil, failure.New(failure.Unavailable, "read GET /v1/members, and repeat the change with expected_revision if it is still wanted",
+				"the request may have waited while this process was paused, or its caller has disconnected; nothing was changed").WithRetryAfter(time.Second)
+		}
+	}
+	if err := a.Backend.ChangeMember(ctx, change); err != nil {
 		return nil, err
 	}
-	return MemberChanged{Name: name}, nil
+	return MemberChanged{Name: change.Name}, nil
 }
--- a/internal/process/configfeed/calls.go
+++ b/internal/process/configfeed/calls.go
@@ -50,7 +50,7 @@
 
 // Status returns the status of the control role.
 func (c *Client) Status(ctx context.Context) (*wire.ControlStatus, error) {
-	result, err := c.admin(ctx, true, wire.AdminCall{Kind: wire.AdminStatus})
+	result, err := c.admin(ctx, true, readRequest(wire.AdminStatus))
 	if err != nil {
 		return nil, err
 	}
@@ -60,14 +60,30 @@
 	return result.Status, nil
 }
 
+// MembersRevision returns the revision of the group of control members.
+func (c *Client) MembersRevision(ctx context.Context) (uint64, error) {
+	result, err := c.admin(ctx, true, readRequest(wire.AdminMembersRevision))
+	if err != nil {
+		return 0, err
+	}
+	if result.Status == nil {
+		return 0, unexpectedReply()
+	}
+	return result.Status.Revision, nil
+}
+
 // ChangeMember adds, removes or replaces a control member.
-func (c *Client) ChangeMember(ctx context.Context, kind wire.AdminKind, name, address string) error {
-	_, err := c.admin(ctx, false, wire.AdminCall{Kind: kind, Name: name, Address: address})
+func (c *Client) ChangeMember(ctx context.Context, change wire.MemberChange) error {
+	_, err := c.admin(ctx, false, func(id uint64) wire.Message { change.ID = id; return &change })
 	return err
 }
 
-func (c *Client) admin(ctx context.Context, resend bool, request wire.AdminCall) (*wire.AdminResult, error) {
-	reply, err := c.call(ctx, resend, func(id uint64) wire.Message { request.ID = id; return &request })
+func readRequest(kind wire.AdminKind) func(id uint64) wire.Message {
+	return func(id uint64) wire.Message { return &wire.AdminCall{ID: id, Kind: kind} }
+}
+
+func (c *Client) admin(ctx context.Context, resend bool, request func(id uint64) wire.Message) (*wire.AdminResult, error) {
+	reply, err := c.call(ctx, resend, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/control/calls.go
+++ b/internal/process/control/calls.go
@@ -132,8 +132,11 @@
 			status, err = s.Status(ctx)
 		case wire.AdminLocalStatus:
 			status, err = s.localStatus(ctx)
+		case wire.AdminMembersRevision:
+			status = &wire.ControlStatus{}
+			status.Revision, err = s.MembersRevision(ctx)
 		default:
-			err = s.changeMember(ctx, *m)
+			err = unknownAdminCall(m.Kind)
 		}
 		if err != nil {
 			return failureReply(err)
@@ -141,3 +144,12 @@
 		return &wire.AdminResult{ID: m.ID, Status: status}
 	}, failureReply)
 }
+
+func unknownAdminCall(kind wire.AdminKind) error {
+	return failure.New(failure.InvalidArgument, "run the same release on all processes", "unknown admin call %d; nothing was changed", kind)
+}
+
+func (s *Server) serveMemberChange(sess *session.Session, m *wire.MemberChange) {
+	reply := func(err error) wire.Message { return &wire.AdminResult{ID: m.ID, Failure: wire.NewFailure(err)} }
+	s.serveCall(sess, func(ctx context.Context) wire.Message { return reply(s.ChangeMember(ctx, *m)) }, reply)
+}
--- a/internal/process/control/clients.go
+++ b/internal/process/control/clients.go
@@ -149,6 +149,8 @@
 		s.serveProposal(c.session, m)
 	case *wire.AdminCall:
 		s.serveAdmin(c.session, m)
+	case *wire.MemberChange:
+		s.serveMemberChange(c.session, m)
 	case *wire.Presence:
 		s.directory.handlePresence(c.session.Peer().ID, m)
 	case *wire.Closing:
--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -75,7 +75,6 @@
 	loop       *loop.Loop[any]
 	directory  *directory // accessed only on the event loop's goroutine
 	calls      callLimiter
-	stalls     clock.Stalls
 	ctx        context.Context // done when Run ends
 	stop       context.CancelFunc
 	draining   atomic.Bool
@@ -148,27 +147,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.loop.Run(ctx) })
 	group.Go(func() error { return s.replica.Run(ctx) })
-	group.Go(func() error { return s.observeStalls(ctx) })
 	return group.Wait()
 }
 
-func (s *Server) observeStalls(ctx context.Context) error {
-	ticker := time.NewTicker(clock.StallCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.stalls.Observe(clock.SinceBoot())
-		}
-	}
-}
-
-// StalledRecently reports whether a request that is read now may have waited while this process was
-// stopped or its VM suspended, so that its caller may have sent other requests since.
-func (s *Server) StalledRecently() bool { return s.stalls.Recent(clock.SinceBoot()) }
-
 // knownMembers returns the members of the recovered group configuration, or the peers from the settings
 // if there is none.
 func (s *Server) knownMembers() []replication.Member {
--- a/internal/process/control/links.go
+++ b/internal/process/control/links.go
@@ -284,7 +284,7 @@
 
 // call sends an admin call to a member and waits for its reply. The error is Unavailable if the member
 // did not receive the call, and MayHaveRun if the outcome is unknown.
-func (l *links) call(ctx context.Context, to replication.Member, request wire.AdminCall) (*wire.AdminResult, error) {
+func (l *links) call(ctx context.Context, to replication.Member, request func(id uint64) wire.Message) (*wire.AdminResult, error) {
 	unreachable := failure.New(failure.Unavailable, "check that the control members run and can reach each other", "control member %q cannot be reached", to.Name).WithRetryAfter(time.Second)
 	ln := l.linkTo(to)
 	if ln == nil {
@@ -297,9 +297,9 @@
 		return nil, unreachable
 	}
 	ln.lastID++
-	request.ID = ln.lastID
-	ln.calls[request.ID] = reply
-	ln.session.Send(&request)
+	id := ln.lastID
+	ln.calls[id] = reply
+	ln.session.Send(request(id))
 	ln.mu.Unlock()
 	select {
 	case result := <-reply:
@@ -308,7 +308,7 @@
 		}
 	case <-ctx.Done():
 		ln.mu.Lock()
-		delete(ln.calls, request.ID)
+		delete(ln.calls, id)
 		ln.mu.Unlock()
 	}
 	return nil, failure.New(failure.MayHaveRun, "check GET /v1/members before you repeat the command", "control member %q did not reply", to.Name)
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		group.Go(func() error {
-			if result, err := s.links.call(ctx, member.Member, wire.AdminCall{Kind: wire.AdminLocalStatus}); err == nil {
+			if result, err := s.links.call(ctx, member.Member, func(id uint64) wire.Message { return &wire.AdminCall{ID: id, Kind: wire.AdminLocalStatus} }); err == nil {
 				replies[i] = result.Status
 			}
 			return nil
@@ -108,34 +108,38 @@
 	}
 }
 
-// ChangeMember adds, removes or replaces a control member.
-func (s *Server) ChangeMember(ctx context.Context, kind wire.AdminKind, name, address string) error {
-	return s.changeMember(ctx, wire.AdminCall{Kind: kind, Name: name, Address: address})
+// MembersRevision returns the revision of the group of control members as this member knows it: the index
+// of the last log entry that it knows to be committed.
+func (s *Server) MembersRevision(context.Context) (uint64, error) {
+	return s.replica.Committed(), nil
 }
 
-// changeMember carries out a membership change on the leader, which may be another member.
-func (s *Server) changeMember(ctx context.Context, call wire.AdminCall) error {
-	if err := catalog.ValidateName("member", call.Name); err != nil {
+// ChangeMember carries out a membership change on the leader, which may be another member.
+func (s *Server) ChangeMember(ctx context.Context, change wire.MemberChange) error {
+	if err := catalog.ValidateName("member", change.Name); err != nil {
 		return err
 	}
+	if change.Expected == 0 {
+		return failure.New(failure.InvalidArgument, "read the revision with GET /v1/members and send it as expected_revision", "the change of the members has no expected revision")
+	}
 	if s.replica.Status().Role == "leader" {
-		switch call.Kind {
+		switch change.Kind {
 		case wire.AdminAdd:
-			return s.addMember(ctx, call)
+			return s.addMember(ctx, change)
 		case wire.AdminRemove:
-			return s.replica.RemoveMember(ctx, call.Name)
+			return s.replica.RemoveMember(ctx, change.Expected, change.Name)
 		case wire.AdminReplace:
-			return s.replica.ReplaceMember(ctx, call.Name)
+			return s.replica.ReplaceMember(ctx, change.Expected, change.Name)
 		default:
-			return failure.New(failure.InvalidArgument, "run the same release on all processes", "unknown admin call %d", call.Kind)
+			return unknownAdminCall(change.Kind)
 		}
 	}
 	leader, known := s.replica.Leader()
-	if !known || call.Forwarded {
+	if !known || change.Forwarded {
 		return failure.New(failure.Unavailable, "retry; if it persists, make sure that a majority of the control members is running and connected", "the control members have no leader at present, or the leader has just changed").WithRetryAfter(time.Second)
 	}
-	call.Forwarded = true
-	result, err := s.links.call(ctx, leader, call)
+	change.Forwarded = true
+	result, err := s.links.call(ctx, leader, func(id uint64) wire.Message { change.ID = id; return &change })
 	if err != nil {
 		return err
 	}
@@ -146,16 +150,16 @@
 }
 
 // addMember adds a process that has asked to join; its request contains the identity of its data folder.
-func (s *Server) addMember(ctx context.Context, call wire.AdminCall) error {
+func (s *Server) addMember(ctx context.Context, change wire.MemberChange) error {
 	for _, joining := range s.replica.Status().Joining {
-		if joining.Name != call.Name {
+		if joining.Name != change.Name {
 			continue
 		}
-		joining.Address = call.Address
-		return s.replica.AddMember(ctx, joining)
+		joining.Address = change.Address
+		return s.replica.AddMember(ctx, change.Expected, joining)
 	}
 	return failure.New(failure.Unavailable, "start the process with an empty data folder and all members in control_members, then repeat the command",
-		"no control process named %s has asked to join", call.Name).WithRetryAfter(time.Second)
+		"no control process named %s has asked to join", change.Name).WithRetryAfter(time.Second)
 }
 
 // Dump implements daemon.Role.
--- a/internal/process/control/suite_test.go
+++ b/internal/process/control/suite_test.go
@@ -318,3 +318,10 @@
 func peerOf(m *member) replication.Member {
 	return replication.Member{Name: m.name, Address: m.address}
 }
+
+// changeMember asks a member for a change that is based on the revision that it knows.
+func changeMember(asked *member, kind wire.AdminKind, name, address string) error {
+	revision, err := asked.server.MembersRevision(timeoutContext(5))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return asked.server.ChangeMember(timeoutContext(10), wire.MemberChange{Kind: kind, Name: name, Address: address, Expected: revision})
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/process/admin"
@@ -35,6 +36,7 @@
 	DrainOrder []string
 	// Tokens authenticates the callers of the operator API.
 	Tokens *auth.Tokens
+	stalls clock.Stalls
 	// LoopbackOnly is true if callers or processes are not authenticated and the network is not
 	// trusted; Listen is then a loopback address.
 	LoopbackOnly bool
@@ -56,6 +58,7 @@
 // Run serves until ctx is done, then drains the adapters and the roles in order and returns. Draining
 // has no deadline, so that work in flight is completed.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.stalls.Observe(clock.SinceBoot()) // before the first request can arrive
 	listener, err := net.Listen("tcp", d.Listen)
 	if err != nil {
 		return failure.New(failure.Unavailable, "choose another address in listen or stop the process that uses it", "cannot listen on %s: %v", d.Listen, err)
@@ -75,6 +78,9 @@
 	for _, adapter := range d.Adapters {
 		group.Go(func() error { return adapter.Run(roleCtx) })
 	}
+	if d.adminBackend() != nil {
+		group.Go(func() error { return d.observeStalls(roleCtx) })
+	}
 	group.Go(func() error { return server.Serve(listener) })
 	if d.LoopbackOnly {
 		logging.Log(d.Logger, logging.LoopbackOnly)
@@ -99,6 +105,24 @@
 	return err
 }
 
+func (d *Daemon) observeStalls(ctx context.Context) error {
+	ticker := time.NewTicker(clock.StallCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.stalls.Observe(clock.SinceBoot())
+		}
+	}
+}
+
+// StalledRecently reports whether a request that is read now may have waited while this process was
+// stopped or its VM suspended, so that its caller may have sent other requests since. Only processes that
+// serve the operator API detect it.
+func (d *Daemon) StalledRecently() bool { return d.stalls.Recent(clock.SinceBoot()) }
+
 func (d *Daemon) drain(ctx context.Context) error {
 	logging.Log(d.Logger, logging.ProcessStopping)
 	for _, adapter := range d.Adapters {
@@ -132,7 +156,7 @@
 		d.Roles[name].Routes(r)
 	}
 	if backend := d.adminBackend(); backend != nil {
-		(&admin.API{Backend: backend, Tokens: d.Tokens}).Routes(r)
+		(&admin.API{Backend: backend, Tokens: d.Tokens, StalledRecently: d.StalledRecently}).Routes(r)
 	}
 	return r.Handler
 }
--- a/platform/disconnect.go
+++ b/internal/process/httpapi/disconnect.go
@@ -1,4 +1,4 @@
-package platform
+package httpapi
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasDisconnected reports whether the peer has closed or reset the connection. It peeks at the receive
+// HasDisconnected reports whether the peer has closed or reset the connection. It peeks at the receive
 // buffer without blocking and without consuming data.
-func hasDisconnected(conn net.Conn) bool {
+func HasDisconnected(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/version/replica/api.go
+++ b/internal/version/replica/api.go
@@ -127,15 +127,19 @@
 	Leader() (replication.Member, bool)
 	// SetPeers replaces Options.Peers.
 	SetPeers(peers []replication.Member)
+	// Committed returns the index of the last entry that this member knows to be committed.
+	Committed() uint64
 	// Status returns a consistent copy of the member's state.
 	Status() Status
-	// AddMember adds a process as a learner, which is promoted to voter once it has caught up.
-	AddMember(ctx context.Context, member replication.Member) error
+	// AddMember adds a process as a learner, which is promoted to voter once it has caught up. It returns a
+	// RevisionConflict if the members have changed after expected, an index that Committed has returned;
+	// zero stands for any index. RemoveMember and ReplaceMember do the same.
+	AddMember(ctx context.Context, expected uint64, member replication.Member) error
 	// RemoveMember removes the member with the given name.
-	RemoveMember(ctx context.Context, name string) error
+	RemoveMember(ctx context.Context, expected uint64, name string) error
 	// ReplaceMember removes the member with the given name and adds, as a learner, the process that now
 	// runs under that name with a new data folder. The learner is promoted to voter once it has caught up.
-	ReplaceMember(ctx context.Context, name string) error
+	ReplaceMember(ctx context.Context, expected uint64, name string) error
 	// Transfer transfers leadership to the most up-to-date voter; it has no effect on a follower. A nil
 	// error does not mean that leadership has moved. Call it at shutdown, before the context of Run ends.
 	Transfer(ctx context.Context) error
--- a/internal/version/replica/client.go
+++ b/internal/version/replica/client.go
@@ -77,31 +77,34 @@
 	return leader, leader.Identity != replication.NoIdentity
 }
 
+// Committed implements API.
+func (r *Replica) Committed() uint64 { return r.publishedState.Load().committed }
+
 // Status implements API. It is at most 100 ms old.
 func (r *Replica) Status() Status { return r.publishedState.Load().status }
 
 // Identity returns the identity of the data folder.
 func (r *Replica) Identity() replication.Identity { return r.store.Identity() }
 
-func (r *Replica) changeMembership(ctx context.Context, kind replication.ChangeKind, member replication.Member) error {
-	w := &waiter{ctx: ctx, change: replication.MembershipChange{Kind: kind, Member: member}, outcome: make(chan outcome, 1)}
+func (r *Replica) changeMembership(ctx context.Context, expected uint64, kind replication.ChangeKind, member replication.Member) error {
+	w := &waiter{ctx: ctx, change: replication.MembershipChange{Expected: expected, Kind: kind, Member: member}, outcome: make(chan outcome, 1)}
 	_, err := r.await(request{membershipChange: w}, w)
 	return err
 }
 
 // AddMember implements API. It must be called on the leader.
-func (r *Replica) AddMember(ctx context.Context, member replication.Member) error {
-	return r.changeMembership(ctx, replication.AddLearner, member)
+func (r *Replica) AddMember(ctx context.Context, expected uint64, member replication.Member) error {
+	return r.changeMembership(ctx, expected, replication.AddLearner, member)
 }
 
 // RemoveMember implements API. It must be called on the leader.
-func (r *Replica) RemoveMember(ctx context.Context, name string) error {
-	return r.changeMembership(ctx, replication.RemoveMember, replication.Member{Name: name})
+func (r *Replica) RemoveMember(ctx context.Context, expected uint64, name string) error {
+	return r.changeMembership(ctx, expected, replication.RemoveMember, replication.Member{Name: name})
 }
 
 // ReplaceMember implements API. It must be called on the leader.
-func (r *Replica) ReplaceMember(ctx context.Context, name string) error {
-	return r.changeMembership(ctx, replication.ReplaceMember, replication.Member{Name: name})
+func (r *Replica) ReplaceMember(ctx context.Context, expected uint64, name string) error {
+	return r.changeMembership(ctx, expected, replication.ReplaceMember, replication.Member{Name: name})
 }
 
 // Transfer implements API. It returns nil once this member is no longer the leader, after
@@ -146,6 +149,7 @@
 	}
 	index, age, ok := r.core.Basis(now)
 	next.basisIndex, next.basisAt, next.hasBasis = index, now-age, ok
+	next.committed = r.core.Committed()
 	if changed || now >= r.nextStatusAt {
 		r.nextStatusAt = now + statusInterval
 		next.status = r.status()
--- a/internal/version/replica/replica.go
+++ b/internal/version/replica/replica.go
@@ -65,6 +65,7 @@
 	basisIndex uint64
 	basisAt    time.Duration
 	hasBasis   bool
+	committed  uint64
 	leader     replication.Member
 	status     Status
 }
@@ -398,6 +399,11 @@
 		w.outcome <- outcome{err: unknownOutcome(rejection.Reason)}
 		return
 	}
+	if rejection.Conflict {
+		w.outcome <- outcome{err: failure.New(failure.RevisionConflict, "read GET /v1/members again, check that the change is still wanted, and send it with the new revision",
+			"the group of control members was not changed: %s", rejection.Reason)}
+		return
+	}
 	if w.data == nil {
 		w.outcome <- outcome{err: failure.New(failure.Unavailable, "compare the command with the members listed by GET /v1/members, correct it and repeat it",
 			"the group of control members was not changed: %s", rejection.Reason).WithRetryAfter(retryAfter)}
--- a/internal/version/replication/event.go
+++ b/internal/version/replication/event.go
@@ -36,9 +36,12 @@
 )
 
 // MembershipChange changes the membership if this member is the leader; any other member rejects it.
-// Sequence has the same meaning as in Proposal.
+// Sequence has the same meaning as in Proposal. Expected is the index of the last entry that was known
+// to be committed when the change was requested: if the membership has changed after it, the change is
+// rejected. Zero stands for any index.
 type MembershipChange struct {
 	Sequence uint64
+	Expected uint64
 	Kind     ChangeKind
 	Member   Member
 }
@@ -126,7 +129,9 @@
 	Sequence uint64
 	// MayBeCommitted is true if the outcome is unknown: the proposal may still be committed.
 	MayBeCommitted bool
-	Reason         string
+	// Conflict is true if the membership has changed after MembershipChange.Expected.
+	Conflict bool
+	Reason   string
 }
 
 // AppendedChange reports the index at which a membership change was appended.
--- a/internal/version/replication/membership.go
+++ b/internal/version/replication/membership.go
@@ -14,6 +14,12 @@
 		c.out.Rejected = append(c.out.Rejected, Rejection{Sequence: e.Sequence, Reason: reason})
 		return
 	}
+	// A snapshot may cover the entry of the configuration; configurationIndex is then the later index of the
+	// snapshot, so that some changes are rejected although the membership has not changed.
+	if e.Expected != 0 && c.configurationIndex > e.Expected {
+		c.out.Rejected = append(c.out.Rejected, Rejection{Sequence: e.Sequence, Conflict: true, Reason: "the members have changed since the change was requested"})
+		return
+	}
 	next, reason := c.configurationAfter(e)
 	if reason != "" {
 		c.out.Rejected = append(c.out.Rejected, Rejection{Sequence: e.Sequence, Reason: reason})
--- a/internal/version/replication/scenario_test.go
+++ b/internal/version/replication/scenario_test.go
@@ -161,6 +161,30 @@
 		gomega.Expect(leader.core.Status().Role).To(gomega.Equal(replication.Leader))
 	})
 
+	// Guards against a change of the members that was requested before another one and takes effect after it.
+	ginkgo.It("rejects a change of the members that is based on an earlier configuration", func() {
+		c := newSettledCluster(4, 4)
+		leader := c.leader()
+		read := leader.core.Status().Commit
+		var others []string
+		for _, m := range leader.core.Status().Configuration.Members {
+			if m.Name != leader.name {
+				others = append(others, m.Name)
+			}
+		}
+		remove := func(name string) {
+			leader.handle(replication.MembershipChange{Sequence: 1 << 32, Expected: read, Kind: replication.RemoveMember, Member: replication.Member{Name: name}})
+			c.advance(time.Second)
+		}
+		remove(others[0])
+		gomega.Expect(leader.core.Status().Configuration.Members).To(gomega.HaveLen(3))
+		remove(others[1])
+		gomega.Expect(leader.core.Status().Configuration.Members).To(gomega.HaveLen(3))
+		read = leader.core.Status().Commit
+		remove(others[1])
+		gomega.Expect(leader.core.Status().Configuration.Members).To(gomega.HaveLen(2))
+	})
+
 	// Guards against a leader that does not step down while it is partitioned, or whose basis is renewed
 	// while it is partitioned or paused.
 	ginkgo.It("does not renew the basis of an isolated or paused leader", func() {
--- a/internal/version/replication/status.go
+++ b/internal/version/replication/status.go
@@ -37,6 +37,9 @@
 // the leader of this term accepts it.
 func (c *Core) Term() uint64 { return c.hardState.Term }
 
+// Committed returns the index of the last entry that this member knows to be committed.
+func (c *Core) Committed() uint64 { return c.log.committed }
+
 // Status returns a copy of the member's state.
 func (c *Core) Status() Status {
 	s := Status{
