Members can be listed through an entry during an upgrade

What operators would see: `pollenpaddle member list` through an entry of this release fails while the control members are of the earlier one, although the order of an upgrade (entries first) asks for the list.

Cause: the list now has a revision, and a control member of the earlier release rejects the call for it as invalid.

Change: the list is returned without a revision then (0). A change of the members is still rejected. The remedy for a missing expected_revision names the fields again.

No test plays two releases.

--- a/internal/process/admin/admin.go
+++ b/internal/process/admin/admin.go
@@ -154,7 +154,7 @@
 	text := string(request.QueryArgs().Peek(parameterExpectedRevision))
 	revision, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return 0, failure.New(failure.InvalidArgument, "send the fields of the change in a JSON body or as query parameters", "expected_revision %q is not a number", text)
+		return 0, failure.New(failure.InvalidArgument, "send expected_revision, and change_id if the change needs one, in a JSON body or as query parameters", "expected_revision %q is not a number", text)
 	}
 	return revision, nil
 }
--- a/internal/process/admin/members.go
+++ b/internal/process/admin/members.go
@@ -28,7 +28,7 @@
 // Members is the response to GET /v1/members.
 type Members struct {
 	Leader   string   `json:"leader"`   // empty during an election
-	Revision uint64   `json:"revision"` // of the group, not of the configuration
+	Revision uint64   `json:"revision"` // of the group, not of the configuration; 0 if it is not known
 	Members  []Member `json:"members"`
 }
 
@@ -84,9 +84,10 @@
 }
 
 func (a *API) members(ctx context.Context, _ *fasthttp.RequestCtx, _ string) (any, error) {
-	// The revision is read first, so that it is not newer than the list.
+	// The revision is read first, so that it is not newer than the list. A control member of an earlier
+	// release rejects the call as invalid; the list is needed during an upgrade all the same.
 	revision, err := a.Backend.MembersRevision(ctx)
-	if err != nil {
+	if err != nil && failure.KindOf(err) != failure.InvalidArgument {
 		return nil, err
 	}
 	status, err := a.Backend.Status(ctx)
