--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -73,7 +73,7 @@
 	} else {
 		r.add("folder %s", l.temporary)
 	}
-	cases := map[string]func(*layout, *record, bool) int{"replacement": replacement, "resubmission": resubmission, "suspension": suspension, "latecopy": latecopy}
+	cases := map[string]func(*layout, *record, bool) int{"replacement": replacement, "resubmission": resubmission, "suspension": suspension, "latecopy": latecopy, "pile": pile}
 	trouble := os.Getenv("TROUBLE") != troubleOff
 	status := couldNot
 	if play := cases[name]; play != nil {
