review: case 9 counts only time in which both minions are up

Claim: unchanged; the check left out no time of a suspension, which is stricter than the rule says. Case: review/9, with review/rig-2; review/8 shares the check.

--- a/review/rig-2/minion.go
+++ b/review/rig-2/minion.go
@@ -46,6 +46,7 @@
 	// minion's steady clock does not count it.
 	suspendedAt time.Time
 	suspended   time.Duration
+	resumedAt   time.Time
 	resumed     chan struct{} // closed when the suspension ends
 }
 
@@ -62,8 +63,9 @@
 // finished is a run that has ended.
 type finished struct {
 	start
-	how   string
-	endAt time.Time
+	how    string
+	endAt  time.Time
+	upFrom time.Time // when the suspension of its machine ended last; zero if there was none
 }
 
 // start is the beginning of a run.
@@ -114,7 +116,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.suspended += time.Since(m.suspendedAt)
-	m.suspendedAt = time.Time{}
+	m.suspendedAt, m.resumedAt = time.Time{}, time.Now()
 	close(m.resumed)
 }
 
@@ -191,7 +193,7 @@
 	m.ended = append(m.ended, []any{m.lastEnd, e.task, e.run, how, ""})
 	close(m.changed)
 	m.changed = make(chan struct{})
-	m.history = append(m.history, finished{start: start{at: e.began, task: e.task, run: e.run, minion: m.id}, how: how, endAt: time.Now()})
+	m.history = append(m.history, finished{start: start{at: e.began, task: e.task, run: e.run, minion: m.id}, how: how, endAt: time.Now(), upFrom: m.resumedAt})
 	m.record.add("minion %s: run %d of task %s has ended: %s", m.id, e.run, e.task, how)
 }
 
--- a/review/rig-2/suspension.go
+++ b/review/rig-2/suspension.go
@@ -43,7 +43,8 @@
 	return d.judgeConcurrency()
 }
 
-// judgeConcurrency checks that no two runs of one task overlap.
+// judgeConcurrency checks that no two runs of one task overlap on minions that are up. The time up to the end of a
+// suspension does not count.
 func (d *deployment) judgeConcurrency() int {
 	var runs []finished
 	for _, m := range d.minions {
@@ -52,7 +53,7 @@
 	status := held
 	for i, a := range runs {
 		for _, b := range runs[i+1:] {
-			from, to := later(a.at, b.at), earlier(a.endAt, b.endAt)
+			from, to := later(later(a.at, b.at), later(a.upFrom, b.upFrom)), earlier(a.endAt, b.endAt)
 			if a.task == b.task && from.Before(to) {
 				d.r.add("runs %d on %s and %d on %s of task %s: both in progress for %v", a.run, a.minion, b.run, b.minion, a.task, to.Sub(from))
 				status = broken
