runner: count a worker lease only while the host runs

Cause: the agent reported a run as lost when the worker lease had expired on its boot-time clock. The lease counts on the worker's own clock, which stands still while their host is suspended, so the run went on until its stop. The invariant of the runner, that an outcome is reported only when the run is certainly over, did not hold. By logs: the outcome with the reason lease_expired came in the same step as the first stop call, before its response.

Change: the runner moves the end of the lease, the lease ends of pending calls, its estimate of the worker's clock and the time until which an unanswered start may be carried out by the time in which the host was suspended (boot-time clock minus steady clock) or this process did not run (more than 300 ms between two steps, which are due every 250 ms while a lease may be held). A run on a worker that responds ends by its report or a confirmed stop, as before. The agent logs suspensions as event 1415. Without a pause nothing changes.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -11,11 +11,16 @@
 // SinceBoot returns the time since the machine booted, including time spent suspended.
 // CLOCK_MONOTONIC, which package time uses, stops while a VM is suspended, so a lease measured with
 // it would last too long after a resume.
-func SinceBoot() time.Duration {
+func SinceBoot() time.Duration { return read(unix.CLOCK_BOOTTIME) }
+
+// Steady returns the time since the machine booted without the time spent suspended.
+func Steady() time.Duration { return read(unix.CLOCK_MONOTONIC) }
+
+func read(id int32) time.Duration {
 	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// CLOCK_BOOTTIME exists on every supported kernel (Linux 2.6.39 and later).
-		panic("clock: CLOCK_BOOTTIME is not available: " + err.Error())
+	if err := unix.ClockGettime(id, &ts); err != nil {
+		// Both clocks exist on every supported kernel (Linux 2.6.39 and later).
+		panic("clock: a clock of the kernel is not available: " + err.Error())
 	}
 	return time.Duration(ts.Nano())
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -66,8 +66,9 @@
 	dialers      dialerSet
 
 	// The fields below are accessed only on the event loop's goroutine.
-	startGate *startgate.Machine
-	runner    *runner.Machine
+	startGate   *startgate.Machine
+	runner      *runner.Machine
+	suspensions clock.Suspensions // of the host
 	// workerAnnounced is the newest announcement of the worker, for logging.
 	workerAnnounced       runner.WorkerAnnounced
 	sessions              map[startgate.EntryID]*session.Session
--- a/internal/process/agent/runs.go
+++ b/internal/process/agent/runs.go
@@ -40,7 +40,16 @@
 // stepRunner passes an event to the runner and carries out the resulting actions.
 func (a *Agent) stepRunner(event runner.Event) {
 	a.logWorker(event)
-	for _, action := range a.runner.Step(clock.SinceBoot(), event) {
+	now := clock.SinceBoot()
+	if suspended := a.suspensions.Observe(now, clock.Steady()); suspended > 0 {
+		logging.Log(a.config.Logger, logging.HostSuspended, zap.Duration("duration", suspended))
+		a.executeRunnerActions(a.runner.Step(now, runner.HostSuspended{Duration: suspended}))
+	}
+	a.executeRunnerActions(a.runner.Step(now, event))
+}
+
+func (a *Agent) executeRunnerActions(actions []runner.Action) {
+	for _, action := range actions {
 		switch action := action.(type) {
 		case runner.Send:
 			a.logCrash(action)
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -132,6 +132,8 @@
 		"The agent has asked the worker to stop a run, because its owner cancelled it or was not heard from, or because no entry ordered it.")
 	WorkerCrashSuspected = define(1414, zapcore.WarnLevel, "crash of worker suspected",
 		"The worker has stopped accepting connections while it executed runs. The field runs lists those of the entry that may have caused it, because they had started just before; there is one line for each entry with such runs. If runs of one job recur in these lines, cancel the job and report it to its caller; otherwise look into the log of the worker.")
+	HostSuspended = define(1415, zapcore.WarnLevel, "host was suspended",
+		"The host of the agent and its worker stood still for the field duration, by the difference between the boot-time clock and the steady clock. Entries may have counted the agent as absent; runs continue or are stopped. If it recurs, ask the provider of the VM why it is suspended.")
 	WorkerPlatformFailed = define(1409, zapcore.ErrorLevel, "operation of the worker host failed",
 		"The field operation names it. A task whose resources could not be reserved (operation lease) is refused and placed elsewhere.")
 )
--- a/internal/request/runner/events.go
+++ b/internal/request/runner/events.go
@@ -62,6 +62,10 @@
 // Draining reports that the agent is shutting down. All further orders are refused.
 type Draining struct{}
 
+// HostSuspended reports that the host was suspended between the previous step and this one, and the worker and its clock
+// with it. Duration is the time on the boot-time clock.
+type HostSuspended struct{ Duration time.Duration }
+
 // CallResult is the outcome of a call to the worker.
 type CallResult uint8
 
@@ -161,6 +165,7 @@
 func (StartReturned) runnerEvent()   {}
 func (StopReturned) runnerEvent()    {}
 func (Renewed) runnerEvent()         {}
+func (HostSuspended) runnerEvent()   {}
 func (Tick) runnerEvent()            {}
 
 // Action is an output of the machine, to be executed by the caller of Machine.Step.
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -2,8 +2,9 @@
 // stops runs on the worker of its host; it renews the worker's lease and tracks the runs there.
 //
 // Invariants: a task has at most one run that may be in progress on the worker; the outcome of a run
-// is reported only when the run is certainly over; a run is stopped if its owner has replied to no
-// poll for OwnerTimeout, and the worker lease ends soon after that even if the stop has no effect.
+// is reported only when the run is certainly over, by a report of the worker or by a lease that counts only time in
+// which the host was not suspended; a run is stopped if its owner has replied to no poll for OwnerTimeout, and the worker
+// lease ends soon after that even if the stop has no effect.
 //
 // A token is a fencing token, and a lease is a worker lease. The owner of a run is the entry that ordered
 // it. An active run, ordered and without an outcome, is waiting until its start call and started from then on.
@@ -172,6 +173,8 @@
 	if m.now == 0 {
 		// Runs left behind by an earlier process of the agent end at the latest when their lease expires.
 		m.worker.leaseEnd = now + m.maxLeaseTime()
+	} else {
+		m.excludePause(now, event)
 	}
 	m.now = now
 	m.expireDue(now)
@@ -345,6 +348,9 @@
 			consider(r.confirmedAt + lateCallPeriod)
 		}
 	}
+	if len(m.startedByTask) > 0 || m.now < m.leaseEnd() {
+		consider(m.now + PollInterval) // see maxStepGap
+	}
 	m.eachOwnerDeadline(consider)
 	m.eachWorkerDeadline(consider)
 	return wake, due
--- a/internal/request/runner/model_test.go
+++ b/internal/request/runner/model_test.go
@@ -409,6 +409,8 @@
 			s.silence()
 		case 12:
 			s.unreachable = !s.unreachable
+		case 13:
+			s.suspend()
 		case 15:
 			s.leave()
 		default:
@@ -432,6 +434,22 @@
 	}
 }
 
+// suspend suspends the host: the agent and the worker stand still, and so do the calls between them. Entries that had
+// replied to polls go on, so their runs may continue until the agent learns that it was away.
+func (s *simulation) suspend() {
+	d := time.Duration(rapid.IntRange(1, 8000).Draw(s.t, "suspended")) * time.Millisecond
+	s.now += d
+	s.worker.Suspend(d)
+	for i := range s.calls {
+		s.calls[i].at += d
+	}
+	for entry := range s.heard {
+		s.heard[entry] += d // no run makes progress meanwhile
+	}
+	s.unansweredUntil += d
+	s.step(runner.HostSuspended{Duration: d})
+}
+
 // silence ends the replies of an entry that has ordered a run. Soon after, calls to the worker go unanswered.
 func (s *simulation) silence() {
 	s.order()
--- a/internal/testutil/simworker/worker.go
+++ b/internal/testutil/simworker/worker.go
@@ -53,6 +53,15 @@
 // Clock returns the reading of the worker's clock at now.
 func (w *Worker) Clock(now time.Duration) time.Duration { return now - w.ClockStart }
 
+// Suspend records that the worker and its clock stood still for a time that has just ended.
+func (w *Worker) Suspend(d time.Duration) {
+	w.ClockStart += d
+	w.leaseEnd += d
+	for i := range w.Running {
+		w.Running[i].EndsAt += d
+	}
+}
+
 // Advance ends the runs that are due, or all runs if the worker lease has expired, and reports whether any ended.
 func (w *Worker) Advance(now time.Duration) (ended bool) {
 	before := w.lastEndNumber
