replication: a departing member gives its place to a waiting process

Cause: the successor of a member that shuts down was admitted only when that member had been silent for 3 s. Until then, a group of three had two voters left. The invariant that a group bears the loss of one more disk at any moment did not hold after a planned end.

Change: a member that shuts down announces its end in heartbeat replies. The leader lets a waiting joiner take its place: the joiner becomes a learner, then a voter beside the departing member, which is removed last and told so before its process ends. If nobody waits, the leader answers at once. The wait is bounded by 4 s (event 1209). An unresponsive member is now replaced in the same order; before, it was removed first, and a group that lost another voter then could not use it when it returned. A former member's own earlier request to join no longer counts as a waiting process. Heartbeat replies with the notice mean nothing to leaders of earlier releases; a member that ends under such a leader waits for the 4 s.

--- a/internal/process/control/control.go
+++ b/internal/process/control/control.go
@@ -38,6 +38,8 @@
 	tickInterval = time.Second
 	// drainTimeout bounds the wait for entries and agents to switch to another member.
 	drainTimeout = 2 * time.Second
+	// departTimeout bounds the wait for another process to take the place of this member. It includes an election.
+	departTimeout = 4 * time.Second
 	// basisPollInterval is how often ConfirmedState checks the lease basis. It is shorter than the
 	// heartbeat interval (100 ms), at which the basis is renewed.
 	basisPollInterval = 10 * time.Millisecond
@@ -163,8 +165,9 @@
 	return members
 }
 
-// Drain implements daemon.Role. It transfers leadership, asks the other processes to use another
-// member, and waits until the entries and agents have left and the calls in progress have ended.
+// Drain implements daemon.Role. It transfers leadership, asks the other processes to use another member, and waits until
+// the entries and agents have left, the calls in progress have ended, and a waiting process has taken the place of this
+// member.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	hasOthers := len(s.replica.Status().Members) > 1
@@ -177,7 +180,10 @@
 	})
 	s.calls.drain()
 	if hasOthers {
-		s.awaitSwitch(ctx)
+		var waits errgroup.Group
+		waits.Go(func() error { s.awaitSwitch(ctx); return nil })
+		waits.Go(func() error { s.depart(ctx); return nil })
+		_ = waits.Wait()
 	}
 	var group errgroup.Group
 	s.sessions.Range(func(key, _ any) bool {
@@ -187,6 +193,16 @@
 	return group.Wait()
 }
 
+// depart gives up the membership in favour of a waiting process, if there is one. After departTimeout the process ends as
+// a member, and is replaced once it has been unresponsive for some time.
+func (s *Server) depart(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departTimeout)
+	defer cancel()
+	if err := s.replica.Depart(ctx); err != nil {
+		logging.Log(s.config.Logger, logging.ControlDepartedAsMember, zap.Error(err))
+	}
+}
+
 // awaitSwitch waits until the entries and agents have switched to another member. It returns when none
 // of them has a session, or after drainTimeout.
 func (s *Server) awaitSwitch(ctx context.Context) {
--- a/internal/process/control/control_test.go
+++ b/internal/process/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,6 +161,24 @@
 		}
 	}
 
+	// Guards against a planned replacement that leaves the group with one voter less than its size.
+	ginkgo.It("give the place of a member that drains to a process that waits to join", func() {
+		automatic := func(c *control.Config) { c.AutomaticMembership, c.Size, c.Bootstrap = true, 3, true }
+		g := startGroup(3, automatic)
+		successor := newMember(3, ginkgo.GinkgoT().TempDir())
+		for _, m := range g.members {
+			successor.peers = append(successor.peers, replication.Member{Name: m.name, Address: m.address})
+		}
+		successor.start(automatic, func(c *control.Config) { c.Bootstrap = false })
+		ginkgo.DeferCleanup(func() { successor.stop() })
+		ending := g.leader()
+		gomega.Eventually(func() string { return fmt.Sprintf("%+v", ending.server.Dump()) }).Should(gomega.MatchRegexp(`Joining:\[[^\]]*Name:control-3`))
+		gomega.Expect(ending.server.Drain(timeoutContext(10))).To(gomega.Succeed())
+		ending.stop()
+		g.members = append(slices.DeleteFunc(g.members, func(m *member) bool { return m == ending }), successor)
+		gomega.Expect(g.formed()).To(gomega.BeTrue(), "the members are not the remaining ones and the successor, all voters")
+	})
+
 	// Guards against an entry that is removed because it switched to another member. Entries are also the
 	// registrars, which grant claims: their set would change, and claims would stall for claim.GrantDelay
 	// (13 s).
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -53,6 +53,8 @@
 		"The listed entry still has a session, so the second process is not admitted. Give each process its own id.")
 	AutomaticChangeFailed = define(1208, zapcore.WarnLevel, "automatic change of the configuration failed",
 		"A change of the list of entries or availability zones, which the control role makes itself, was rejected or found no majority; it is retried.")
+	ControlDepartedAsMember = define(1209, zapcore.WarnLevel, "control member ends without a replacement",
+		"The process ends, but the leader has not confirmed that another process has taken its place. The member is replaced once it has been unresponsive for 3 s. Stop no further control member until pollenpaddle member list shows only running voters.")
 )
 
 // Events of operator requests that arrive through a protocol other than that of docs/api.md: 1250 to
--- a/internal/version/replica/api.go
+++ b/internal/version/replica/api.go
@@ -143,4 +143,8 @@
 	// Transfer transfers leadership to the most up-to-date voter; it has no effect on a follower. A nil
 	// error does not mean that leadership has moved. Call it at shutdown, before the context of Run ends.
 	Transfer(ctx context.Context) error
+	// Depart announces that the process is about to end and returns when it may: in a group with automatic membership,
+	// when a waiting process has taken the place of this member, or if there is none. Call it at shutdown after Transfer,
+	// before the context of Run ends.
+	Depart(ctx context.Context) error
 }
--- a/internal/version/replica/client.go
+++ b/internal/version/replica/client.go
@@ -111,7 +111,12 @@
 // transferTimeout, or when the member stops.
 func (r *Replica) Transfer(ctx context.Context) error {
 	done := make(chan struct{})
-	if !r.requests.TryPush(request{transfer: done}) {
+	return r.awaitDone(ctx, request{transfer: done}, done)
+}
+
+// awaitDone queues a request and waits until done is closed.
+func (r *Replica) awaitDone(ctx context.Context, q request, done <-chan struct{}) error {
+	if !r.requests.TryPush(q) {
 		return r.notAppended("too many requests are queued, or the process is stopping")
 	}
 	select {
@@ -122,6 +127,23 @@
 	}
 }
 
+// Depart implements API.
+func (r *Replica) Depart(ctx context.Context) error {
+	done := make(chan struct{})
+	return r.awaitDone(ctx, request{departure: done}, done)
+}
+
+// completeDepartures completes the calls of Depart once the process may end.
+func (r *Replica) completeDepartures() {
+	if !r.core.Departed() {
+		return
+	}
+	for _, done := range r.departures {
+		close(done)
+	}
+	r.departures = nil
+}
+
 // completeTransfers completes the calls of Transfer once this member is not the leader or their
 // deadline has passed.
 func (r *Replica) completeTransfers(now time.Duration) {
--- a/internal/version/replica/replica.go
+++ b/internal/version/replica/replica.go
@@ -50,6 +50,7 @@
 	lastProposal  uint64             // sequence number of the last proposal or membership change
 	waiters       map[uint64]*waiter // by sequence number of the proposal or membership change
 	transfers     []transferWaiter
+	departures    []chan struct{} // closed when the process may end
 	unwritten     []replication.Batch
 	writing       bool
 	snapshotIndex uint64
@@ -76,6 +77,7 @@
 	proposal         *waiter // the caller of Propose
 	membershipChange *waiter // the caller of AddMember, RemoveMember or ReplaceMember
 	transfer         chan struct{}
+	departure        chan struct{}
 	peers            []replication.Member
 	connected        string // name of a member that can be reached now
 }
@@ -230,6 +232,7 @@
 		}
 	}
 	r.completeTransfers(now)
+	r.completeDepartures()
 	return nil
 }
 
@@ -289,6 +292,12 @@
 			return err
 		}
 		r.completeTransfers(r.options.Now())
+	case q.departure != nil:
+		r.departures = append(r.departures, q.departure)
+		if err := r.step(replication.Depart{}); err != nil {
+			return err
+		}
+		r.completeDepartures()
 	}
 	return nil
 }
--- a/internal/version/replication/automatic.go
+++ b/internal/version/replication/automatic.go
@@ -35,14 +35,14 @@
 // received a message from a leader for rejoinTimeout. The member keeps its identity and its log: the
 // leader treats it as a member, or admits it as a learner.
 func (c *Core) tickRejoin() {
-	if c.options.AutomaticMembership && c.now-c.leaderContact >= rejoinTimeout {
+	if c.options.AutomaticMembership && !c.departure.begun && c.now-c.leaderContact >= rejoinTimeout {
 		c.requestJoin()
 	}
 }
 
-// admitJoiner admits at most one joiner at a time to a group with automatic membership. A joiner with
-// a new data folder replaces the member of its name; any other joiner replaces an unresponsive member,
-// or is added while the group is below its target size.
+// admitJoiner admits at most one joiner at a time to a group with automatic membership. A joiner with a new data folder
+// replaces the member of its name, whose data folder is gone. Any other joiner is added while the group is below its
+// target size, not counting unresponsive and departing members; removeSurplus removes these later.
 func (c *Core) admitJoiner() {
 	if !c.options.AutomaticMembership || c.changeRejection() != "" {
 		return
@@ -61,36 +61,51 @@
 	}
 }
 
-// withJoiner returns the configuration with the joiner as a learner; false if the joiner would replace
-// the last voter, or if it replaces no member and the group has its target size or maxMembers.
+// withJoiner returns the configuration with the joiner as a learner; false if the joiner would replace the last voter, or
+// if there is no place for it.
 func (c *Core) withJoiner(joiner Member) (Configuration, bool) {
 	if old, known := c.configuration.FindName(joiner.Name); known {
 		next := c.configuration.without(old.Identity)
 		return next.with(asLearner(joiner)), next.Voters() > 0
 	}
-	if unresponsive, found := c.unresponsiveMember(); found {
-		next := c.configuration.without(unresponsive.Identity)
-		return next.with(asLearner(joiner)), next.Voters() > 0
+	leaving := 0
+	for _, m := range c.configuration.Members {
+		if c.leaderState.progressOf(m.Identity).departing || c.unresponsive(m) {
+			leaving++
+		}
 	}
-	if len(c.configuration.Members) < min(c.targetSize(), maxMembers) {
+	if len(c.configuration.Members) < min(c.targetSize()+leaving, maxMembers) {
 		return c.configuration.with(asLearner(joiner)), true
 	}
 	return Configuration{}, false
 }
 
-// unresponsiveMember returns the member from which no message was received for the longest time, if
-// that time exceeds replaceTimeout.
-func (c *Core) unresponsiveMember() (member Member, found bool) {
-	longest := replaceTimeout
+// unresponsive reports whether the leader has received no message from a member for replaceTimeout.
+func (c *Core) unresponsive(m Member) bool {
+	return m.Identity != c.options.Identity && c.now-c.leaderState.progressOf(m.Identity).lastContact > replaceTimeout
+}
+
+// removeSurplus removes a member beyond the target size of a group with automatic membership: a departing or unresponsive
+// one. A voter is removed only if the remaining ones are enough for the target size, so that the group has its voters at
+// any moment, and an unresponsive member that returns before that is still one.
+func (c *Core) removeSurplus() {
+	if !c.options.AutomaticMembership || len(c.configuration.Members) <= c.targetSize() || c.changeRejection() != "" {
+		return
+	}
 	for _, m := range c.configuration.Members {
-		if m.Identity == c.options.Identity {
+		leaving := c.leaderState.progressOf(m.Identity).departing || c.unresponsive(m)
+		if !leaving || m.Voter && c.configuration.Voters() <= c.targetSize() {
 			continue
 		}
-		if silence := c.now - c.leaderState.progressOf(m.Identity).lastContact; silence > longest {
-			member, found, longest = m, true, silence
+		next := c.configuration.without(m.Identity)
+		if c.activeVoters(next) < next.Quorum() {
+			continue
 		}
+		c.leaderState.removed[m.Identity] = m
+		c.appendEntry(EntryConfiguration, ProposalID{}, EncodeConfiguration(next))
+		c.broadcast()
+		return
 	}
-	return member, found
 }
 
 func (c *Core) targetSize() int {
--- a/internal/version/replication/automatic_test.go
+++ b/internal/version/replication/automatic_test.go
@@ -159,7 +159,7 @@
 }
 
 // TestAutomaticGroup guards against lost entries, two groups and votes of members with an empty disk,
-// while members crash, are partitioned and lose their disks one at a time.
+// while members crash, are partitioned, are replaced as planned and lose their disks one at a time.
 func TestAutomaticGroup(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newAutomaticCluster(rapid.Uint64().Draw(t, "seed"), 3, t.Fatalf)
@@ -168,7 +168,7 @@
 		}
 		s := &schedule{cluster: c}
 		for range rapid.IntRange(2, 10).Draw(t, "faults") {
-			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			switch rapid.IntRange(0, 6).Draw(t, "fault") {
 			case 0:
 				s.anyMachine(t).crash(rapid.Bool().Draw(t, "reboot"))
 			case 1:
@@ -187,6 +187,8 @@
 					s.commands++
 					m.propose(fmt.Sprint("c", s.commands))
 				}
+			case 6:
+				s.replaceAsPlanned(t)
 			}
 			s.run(t)
 		}
--- a/internal/version/replication/core.go
+++ b/internal/version/replication/core.go
@@ -69,6 +69,7 @@
 	incoming    *incomingSnapshot
 	basis       basis
 	joinState   joinState
+	departure   departure
 
 	senderName string // name of the sender of the message being handled
 
@@ -122,12 +123,14 @@
 		c.compactLog(e)
 	case TransferLeadership:
 		c.startTransfer()
+	case Depart:
+		c.depart()
 	case MemberConnected:
 		c.repeatVoteRequest(e.Name)
 
 	case StorageChanged:
 		c.writesFail = e.Failing
-		c.handOverUnwritable()
+		c.handOver()
 	case PeersChanged:
 		c.options.Peers = e.Peers
 	}
@@ -140,6 +143,7 @@
 }
 
 func (c *Core) tick() {
+	c.tickDeparture()
 	if c.configuration.Group == 0 {
 		c.tickJoining()
 		return
@@ -236,7 +240,8 @@
 
 // rejectOldTerm replies to an Append, Heartbeat, Snapshot, PreVote or Propose of an older term, so that
 // the sender learns the current term. A ProposeReply is handled in any term. All other messages of an
-// older term, Vote among them, are ignored.
+// older term, Vote among them, are ignored, except the notice of a departing member: a removed one does not learn of a new
+// term.
 func (c *Core) rejectOldTerm(m *Message) {
 	switch m.Type {
 	case MessageAppend, MessageHeartbeat, MessageSnapshot:
@@ -247,6 +252,10 @@
 		c.rejectForwarded(m.From, m.Entries)
 	case MessageProposeReply:
 		c.handleProposeReply(m)
+	case MessageHeartbeatReply:
+		if m.Reject && c.leaderState != nil {
+			c.handleDeparture(m)
+		}
 	}
 }
 
@@ -287,6 +296,7 @@
 // removed.
 func (c *Core) refreshConfiguration() {
 	c.configuration, c.configurationIndex = c.log.configurationAt(c.log.last())
+	c.joinState.forgetMembers(c.configuration)
 	if c.leaderState != nil {
 		c.leaderState.updateMembers(c)
 	}
--- a/internal/version/replication/event.go
+++ b/internal/version/replication/event.go
@@ -59,6 +59,9 @@
 // TransferLeadership asks a leader to transfer its leadership to another voter.
 type TransferLeadership struct{}
 
+// Depart tells the core that the process is about to end. Departed reports when it may.
+type Depart struct{}
+
 // StorageChanged tells the core whether writes fail and are retried, as on a full disk. Such a member starts no
 // election, rejects proposals that it would forward, and as the leader it hands leadership over.
 // Batches are retried until they are durable, so the opposite event follows once there is space.
@@ -77,6 +80,7 @@
 func (Synced) event()             {}
 func (Snapshotted) event()        {}
 func (TransferLeadership) event() {}
+func (Depart) event()             {}
 
 // PeersChanged replaces Options.Peers.
 type PeersChanged struct{ Peers []Member }
--- a/internal/version/replication/follower.go
+++ b/internal/version/replication/follower.go
@@ -63,5 +63,8 @@
 	if !c.hardState.Barred {
 		c.commitTo(m.Commit)
 	}
+	if m.Reject && c.departure.begun {
+		c.departure.completed = true
+	}
 	c.send(Message{Type: MessageHeartbeatReply, To: m.From, Round: m.Round, Sent: c.now, Run: c.options.Incarnation}, afterState)
 }
--- a/internal/version/replication/leader.go
+++ b/internal/version/replication/leader.go
@@ -6,7 +6,7 @@
 // together with an entry of the leader's own term.
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes, c.incoming = Leader, c.options.Identity, nil, nil
-	c.leaderState = &leaderState{self: c.options.Identity}
+	c.leaderState = &leaderState{self: c.options.Identity, removed: map[Identity]Member{}}
 	c.leaderState.updateMembers(c)
 	for _, e := range c.log.entriesBetween(c.log.committed+1, c.log.last()) {
 		c.leaderState.uncommittedBytes += len(e.Data)
@@ -39,15 +39,16 @@
 	if c.now >= l.nextRound {
 		c.startRound()
 	}
-	c.handOverUnwritable()
+	c.handOver()
 	c.promoteLearner()
+	c.removeSurplus()
 	c.admitJoiner()
 }
 
-// handOverUnwritable transfers leadership if the writes of this leader fail. The group commits without this
-// member's disk as long as a majority can write, but a leader that cannot is one failure away from a standstill.
-func (c *Core) handOverUnwritable() {
-	if c.leaderState == nil || !c.writesFail || c.now < c.nextHandOver {
+// handOver transfers leadership if this leader departs or its writes fail. The group commits without this member's disk
+// as long as a majority can write, but a leader that cannot is one failure away from a standstill.
+func (c *Core) handOver() {
+	if c.leaderState == nil || !c.writesFail && !c.departure.begun || c.now < c.nextHandOver {
 		return
 	}
 	c.nextHandOver = c.now + handOverInterval
@@ -200,6 +201,9 @@
 	if c.leaderState == nil {
 		return
 	}
+	if m.Type == MessageHeartbeatReply && m.Reject {
+		c.handleDeparture(m)
+	}
 	p, member := c.leaderState.members[m.From]
 	if !member {
 		return
@@ -214,6 +218,9 @@
 	case MessageSnapshotReply:
 		c.handleSnapshotReply(m, p)
 	case MessageHeartbeatReply:
+		if p.departing && p.run != m.Run {
+			p.departing = false // its process has ended and started again
+		}
 		if !p.barred {
 			p.acknowledgedRound = max(p.acknowledgedRound, min(m.Round, c.leaderState.lastRound))
 		}
@@ -297,7 +304,7 @@
 		p := c.leaderState.progressOf(m.Identity)
 		responsive := p.hadContact && c.now-p.lastContact < ElectionTimeoutMin
 		longer := p.countedMatch() > match || p.countedMatch() == match && best == c.leaderState.lastTransferee
-		if m.Voter && m.Identity != c.options.Identity && responsive && p.countedMatch() > 0 && longer {
+		if m.Voter && !p.departing && m.Identity != c.options.Identity && responsive && p.countedMatch() > 0 && longer {
 			best, match = m.Identity, p.countedMatch()
 		}
 	}
--- a/internal/version/replication/membership.go
+++ b/internal/version/replication/membership.go
@@ -1,6 +1,9 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // promotionLag is the number of entries by which a learner may lag when it is promoted. It is small
 // so that commits do not wait long for the new voter.
@@ -139,6 +142,14 @@
 	j.joiners = append(j.joiners, joiner{member: member, requestedAt: now})
 }
 
+// forgetMembers forgets the requests of processes that are members by now: a request counts only for one admission.
+func (j *joinState) forgetMembers(configuration Configuration) {
+	j.joiners = slices.DeleteFunc(j.joiners, func(x joiner) bool {
+		_, member := configuration.Find(x.member.Identity)
+		return member
+	})
+}
+
 func (j *joinState) findJoiner(name string, now time.Duration) (Member, bool) {
 	for _, x := range j.joiners {
 		if x.member.Name == name && now-x.requestedAt < joinValidity {
@@ -223,10 +234,9 @@
 	return member
 }
 
-// addressOf returns the address of a process by name; "" if it is unknown. It searches the peers, the
-// members that a process of the group has reported, and the configuration. Before a new member has
-// received the configuration, it learns the address of a leader that is not a peer only from such a
-// report.
+// addressOf returns the address of a process by name; "" if it is unknown. It searches the peers, the members that a
+// process of the group has reported, and the configuration. Before a new member has received the configuration, it learns
+// the address of a leader that is not a peer only from such a report.
 func (c *Core) addressOf(name string) string {
 	for _, list := range [][]Member{c.options.Peers, c.joinState.members, c.configuration.Members} {
 		for _, peer := range list {
--- a/internal/version/replication/message.go
+++ b/internal/version/replication/message.go
@@ -103,13 +103,13 @@
 	Type     MessageType
 	Group    uint64
 	From     Identity
-	To       Identity // zero in Join
-	FromName string   // needed for a reply by a receiver whose configuration does not contain the sender
-	Term     uint64   // the sender's term; PreVote and a granted PreVoteReply: the term of the planned election
-	Index    uint64   // Append: index before Entries; PreVote and Vote: last index; Heartbeat: index that the receiver has acknowledged; Basis: index of the basis; AppendReply: matched index, or in a rejection the Index of the rejected message; SnapshotReply: index of the snapshot
-	LogTerm  uint64   // Append, PreVote and Vote: term of the entry at Index; rejecting AppendReply: term of the entry at Hint
-	Commit   uint64   // Append: the leader's commit index; Heartbeat: the same, but at most Index
-	Reject   bool
+	To       Identity      // zero in Join
+	FromName string        // needed for a reply by a receiver whose configuration does not contain the sender
+	Term     uint64        // the sender's term; PreVote and a granted PreVoteReply: the term of the planned election
+	Index    uint64        // Append: index before Entries; PreVote and Vote: last index; Heartbeat: index that the receiver has acknowledged; Basis: index of the basis; AppendReply: matched index, or in a rejection the Index of the rejected message; SnapshotReply: index of the snapshot
+	LogTerm  uint64        // Append, PreVote and Vote: term of the entry at Index; rejecting AppendReply: term of the entry at Hint
+	Commit   uint64        // Append: the leader's commit index; Heartbeat: the same, but at most Index
+	Reject   bool          // replies that reject; HeartbeatReply: the sender departs; Heartbeat: the receiver may depart
 	Hint     uint64        // rejecting AppendReply: index up to which the logs may agree; SnapshotReply: next offset; ProposeReply: sequence number of the rejected proposal
 	Barred   bool          // the sender is barred; set in every message, read in replies
 	Transfer bool          // Vote: the leader requested this election
@@ -120,7 +120,7 @@
 	Entries  []Entry
 	Chunk    *Chunk
 	Address  string   // Join and JoinReply: where the sender accepts sessions
-	Members  []Member // JoinReply of a member: the members of the group as the sender knows them
+	Members  []Member // JoinReply of a member: the members of the group as the sender knows them; HeartbeatReply of a departing member: the joiners that it knows
 }
 
 // Chunk is one part of a snapshot.
--- a/internal/version/replication/progress.go
+++ b/internal/version/replication/progress.go
@@ -30,6 +30,8 @@
 	acknowledgedRound uint64
 	commitSent        uint64
 	barred            bool
+	departing         bool   // the member is to be replaced, because its process is about to end
+	run               uint64 // incarnation of the process that departs
 
 	snapshot *Snapshot // installing: the snapshot being sent
 	offset   uint64
@@ -77,6 +79,7 @@
 	self             Identity
 	noop             uint64 // index of the first entry of the term
 	members          map[Identity]*progress
+	removed          map[Identity]Member // members beyond the target size that were removed in this term
 	lastRound        uint64
 	roundSent        [roundHistory]time.Duration
 	nextRound        time.Duration
