replication: heartbeats carry the address of the leader

Found by TestAutomaticGroup with planned replacements: a member that was cut off while a successor joined and became the leader never caught up, although the network was back.

Cause: a member resolves the address for its replies from its settings, its configuration and earlier reports, none of which names a process that joined during its absence. Its replies were dropped; it heard the leader, so it did not ask to join either.

Change: a heartbeat carries the address of its sender, and a follower uses it if it knows no other one.

--- a/internal/version/replication/basis.go
+++ b/internal/version/replication/basis.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		match := l.progressOf(m.Identity).match
-		c.send(Message{Type: MessageHeartbeat, To: m.Identity, Index: match, Commit: min(match, c.log.committed), Round: l.lastRound}, immediately)
+		c.send(Message{Type: MessageHeartbeat, To: m.Identity, Index: match, Commit: min(match, c.log.committed), Round: l.lastRound, Address: c.options.Address}, immediately)
 	}
 	c.renewBasis()
 }
--- a/internal/version/replication/departure_test.go
+++ b/internal/version/replication/departure_test.go
@@ -168,6 +168,20 @@
 		}
 	})
 
+	// Guards against a member that was cut off meanwhile and cannot reply to a leader of which it has never heard.
+	ginkgo.It("lets a member that was cut off follow the successor as its leader", func() {
+		c, successors := newClusterWithSuccessors(8, 3, 1)
+		absent, remaining := c.follower(0), c.leader()
+		c.partitionOf[absent.name] = 1
+		c.awaitDepartures(c.depart(c.follower(1)))
+		for c.leader() != successors[0] {
+			remaining.handle(replication.TransferLeadership{})
+			c.advance(time.Second)
+		}
+		clear(c.partitionOf)
+		c.expectRecovery("reconnected")
+	})
+
 	// Guards against restarts that wait for a replacement that does not exist.
 	ginkgo.It("does not wait if nobody can take its place", func() {
 		for _, ending := range []func(*cluster) *machine{(*cluster).leader, func(c *cluster) *machine { return c.follower(0) }} {
--- a/internal/version/replication/follower.go
+++ b/internal/version/replication/follower.go
@@ -56,6 +56,9 @@
 // restored to an older state, which may include an older term and vote: the member must neither vote
 // nor count towards a quorum any more.
 func (c *Core) handleHeartbeat(m *Message) {
+	if m.Address != "" {
+		c.joinState.leader = Member{Name: m.FromName, Address: m.Address}
+	}
 	if m.Index > c.log.last() && !c.hardState.Barred {
 		c.hardState.Barred = true
 		c.dirtyState = true
--- a/internal/version/replication/membership.go
+++ b/internal/version/replication/membership.go
@@ -127,6 +127,7 @@
 	joiners     []joiner      // processes that requested to join, in the order of their first requests
 	otherGroup  uint64        // see Status.OtherGroup
 	members     []Member      // members of the group, as another process reported them
+	leader      Member        // name and address of the last leader, as it reported them
 }
 
 func (j *joinState) recordJoiner(member Member, now time.Duration) {
@@ -235,10 +236,10 @@
 }
 
 // addressOf returns the address of a process by name; "" if it is unknown. It searches the peers, the members that a
-// process of the group has reported, and the configuration. Before a new member has received the configuration, it learns
-// the address of a leader that is not a peer only from such a report.
+// process of the group has reported, the configuration, and the report of the last leader. A member that was cut off while
+// others were replaced knows the address of a leader among these only from that report.
 func (c *Core) addressOf(name string) string {
-	for _, list := range [][]Member{c.options.Peers, c.joinState.members, c.configuration.Members} {
+	for _, list := range [][]Member{c.options.Peers, c.joinState.members, c.configuration.Members, {c.joinState.leader}} {
 		for _, peer := range list {
 			if peer.Name == name {
 				return peer.Address
--- a/internal/version/replication/message.go
+++ b/internal/version/replication/message.go
@@ -119,7 +119,7 @@
 	Age      time.Duration // Basis: age of the basis
 	Entries  []Entry
 	Chunk    *Chunk
-	Address  string   // Join and JoinReply: where the sender accepts sessions
+	Address  string   // Join, JoinReply and Heartbeat: where the sender accepts sessions
 	Members  []Member // JoinReply of a member: the members of the group as the sender knows them; HeartbeatReply of a departing member: the joiners that it knows
 }
 
