platform: check callers again before a submission that may have been delayed

Cause: a submission that was sent during the suspension arrives with a retransmission, up to as long after the suspension as that lasted. The time at which the kernel receives it says nothing about the time at which it was sent, and the end of the caller's connection arrives a round trip later. The entry looked for that end once, before, and then every 100 ms. The invariant that no submission is carried out after its caller's wait relied on the time of arrival.

Change: an entry records how long a connection has been quiet, which bounds the time at which its next request was sent.

--- a/internal/clock/stalls.go
+++ b/internal/clock/stalls.go
@@ -19,8 +19,12 @@
 // Stalls records when the process last stalled, that is, did not run for stallThreshold or more: it was
 // stopped or starved of processor time, or its VM was suspended. A request that is read soon after a
 // stall may have waited in its connection for the whole stall, and nothing in the request shows it.
-// The zero value is ready for use; a stall is detected from the first observation on. The methods may be called on any goroutine, Observe on one only.
+// The zero value is ready for use; a stall is detected from the first observation on. The methods may be called on any
+// goroutine, Observe on one only. With another Threshold, Stalls records the gaps between any other observations.
 type Stalls struct {
+	// Threshold replaces stallThreshold unless it is zero. It is set before the first call.
+	Threshold time.Duration
+
 	observed atomic.Int64 // time of the latest observation, in nanoseconds since boot; zero before the first one
 	ended    atomic.Int64 // end of the latest stall, in nanoseconds since boot; zero if there was none
 }
@@ -36,14 +40,24 @@
 // Recent reports whether a request that is read at now, a reading of SinceBoot, may have arrived before
 // or during a stall. It also detects a stall that Observe has not seen yet.
 func (s *Stalls) Recent(now time.Duration) bool {
+	ended := s.LastEnd(now)
+	return ended != 0 && now-ended < stallWindow
+}
+
+// LastEnd returns the end of the latest stall up to now, a reading of SinceBoot; now itself if Observe has not been called
+// since, and zero if there was no stall.
+func (s *Stalls) LastEnd(now time.Duration) time.Duration {
 	if s.stalledAt(now) {
-		return true
+		return now
 	}
-	ended := time.Duration(s.ended.Load())
-	return ended != 0 && now-ended < stallWindow
+	return time.Duration(s.ended.Load())
 }
 
 func (s *Stalls) stalledAt(now time.Duration) bool {
+	threshold := stallThreshold
+	if s.Threshold != 0 {
+		threshold = s.Threshold
+	}
 	observed := time.Duration(s.observed.Load())
-	return observed != 0 && now-observed >= stallThreshold
+	return observed != 0 && now-observed >= threshold
 }
--- a/internal/clock/stalls_test.go
+++ b/internal/clock/stalls_test.go
@@ -33,3 +33,25 @@
 		}
 	}
 }
+
+// Guards against a request that arrives long after a stall in which it may have been sent and counts as new.
+func TestStallsReportTheEndOfTheLatest(t *testing.T) {
+	s := clock.Stalls{Threshold: time.Second}
+	if end := s.LastEnd(time.Hour); end != 0 {
+		t.Errorf("a process that has just started has stalled until %v", end)
+	}
+	s.Observe(time.Hour)
+	s.Observe(time.Hour + 999*time.Millisecond)
+	if end := s.LastEnd(time.Hour + 1500*time.Millisecond); end != 0 {
+		t.Errorf("stalled until %v, below the threshold", end)
+	}
+	woken := time.Hour + 4*time.Second
+	if end := s.LastEnd(woken); end != woken {
+		t.Errorf("before the first observation, stalled until %v, want %v", end, woken)
+	}
+	s.Observe(woken)
+	s.Observe(woken + 500*time.Millisecond)
+	if end := s.LastEnd(woken + 500*time.Millisecond); end != woken {
+		t.Errorf("stalled until %v, want %v", end, woken)
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -123,6 +123,10 @@
 // serve the operator API detect it.
 func (d *Daemon) StalledRecently() bool { return d.stalls.Recent(clock.SinceBoot()) }
 
+// LastStallEnd returns the end of the latest stall of this process, on the boot-time clock; zero if there was none. See
+// StalledRecently.
+func (d *Daemon) LastStallEnd() time.Duration { return d.stalls.LastEnd(clock.SinceBoot()) }
+
 func (d *Daemon) drain(ctx context.Context) error {
 	logging.Log(d.Logger, logging.ProcessStopping)
 	for _, adapter := range d.Adapters {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -117,6 +117,14 @@
 	restartable    restartableJobs
 }
 
+// isolationThreshold is the time without a message from any other process from which this one counts as having been cut
+// off. Every agent sends a poll each runner.PollInterval.
+const isolationThreshold = time.Second
+
+// LastIsolationEnd returns when this process was last cut off from all others until, on the boot-time clock; zero if it
+// never was.
+func (e *Entry) LastIsolationEnd() time.Duration { return e.status.contact.LastEnd(clock.SinceBoot()) }
+
 // status is the part of the loop's state that other goroutines may read.
 type status struct {
 	configured      atomic.Bool
@@ -125,6 +133,7 @@
 	draining        atomic.Bool
 	activeRequests  atomic.Int64 // HTTP requests in progress
 	availableAgents atomic.Int64 // agents that accept runs of restartable jobs
+	contact         clock.Stalls // records the times without a message from any other process
 }
 
 // notListed is the value of status.grantsAbove while the configuration does not list this entry, and
@@ -162,6 +171,7 @@
 		remote: newRemoteQueries(), ownerLookups: map[job.Key]*ownerLookup{}, pendingCancels: map[job.Key]bool{},
 		retryAfter: map[job.Key]time.Duration{}, restartable: newRestartableJobs(config.Identity),
 	}
+	e.status.contact.Threshold = isolationThreshold
 	e.sessionCtx, e.stopSessions = context.WithCancel(context.Background())
 	e.connector = session.Connector{Local: config.Identity, Key: config.Key, Handler: e, OnFault: logging.LogFaults(config.Logger)}
 	e.loop = loop.New(eventQueueLimit, e.handle, e.wake)
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"pollenpaddle/internal/clock"
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/process/logging"
@@ -77,6 +78,7 @@
 }
 
 func (e *Entry) receive(s *session.Session, messages []wire.Message) {
+	e.status.contact.Observe(clock.SinceBoot())
 	if s.Peer().Role == wire.RoleAgent {
 		for _, message := range messages {
 			if !e.receiveRunMessage(scheduler.AgentID(agentOf(s)), message) {
--- a/internal/process/httpapi/connection.go
+++ b/internal/process/httpapi/connection.go
@@ -2,12 +2,62 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"pollenpaddle/internal/clock"
 )
 
+// TrackConnections returns a listener whose connections record when they were last quiet; see SentAfter.
+func TrackConnections(listener net.Listener) net.Listener { return trackedListener{listener} }
+
+type trackedListener struct{ net.Listener }
+
+func (l trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn}
+	// The peer may have waited for this process to accept the connection.
+	tracked.quietSince.Store(int64(clock.SinceBoot() - TimeSinceLastData(conn)))
+	return tracked, nil
+}
+
+// trackedConn is a connection of a trackedListener.
+type trackedConn struct {
+	net.Conn
+	quietSince atomic.Int64 // when it was accepted or last written to, in nanoseconds since boot
+}
+
+func (c *trackedConn) Write(data []byte) (int, error) {
+	c.quietSince.Store(int64(clock.SinceBoot()))
+	return c.Conn.Write(data)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no descriptor")
+	}
+	return conn.SyscallConn()
+}
+
+// SentAfter returns a time, on the boot-time clock, before which the request that was read last cannot have been sent: the
+// peer had not connected yet, or had not received the response to its previous request. It is zero for a connection that
+// is not tracked. Call it before the response is written.
+func SentAfter(conn net.Conn) time.Duration {
+	if tracked, ok := conn.(*trackedConn); ok {
+		return time.Duration(tracked.quietSince.Load())
+	}
+	return 0
+}
+
 // HasDisconnected reports whether the peer has closed or reset the connection. It peeks at the receive
 // buffer without blocking and without consuming data.
 func HasDisconnected(conn net.Conn) bool {
