scheduler: repeat no run whose host may be suspended, at any entry

Cause: an entry counted the runs of an absent agent as lost 2.1 s after the end of its session, on its own clock, while the lease of the worker stands still during a suspension. And a caller that resubmits its job to another entry, 1.3 s after its wait, relied on the same: that entry knew nothing of the run.

Change: if an agent was silent when its session ended, or its new session shows no sign of life, its runs count as lost only after another 15 s, the longest suspension that is expected. A session that the agent's host has closed shows that the host ran; runs are then repeated after 2.1 s, as before. Entries tell each other the jobs with a run at an agent that has been silent for 0.7 s, until the outcome is known (message UnresolvedJobs, event 1360). A job in such a list is not started; its caller gets 504 at the end of its wait. Without a silent agent nothing is sent and nothing waits.

Seen: "is not repeated before its outcome is known, however long the suspension" (three entries, suspensions of 0.5 to 14 s at three moments, waits of 1.5 and 20 s) failed without either part of the change and passes with both.

--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -67,6 +67,8 @@
 	FeatureSpeeds Feature = 1 << 1
 	// FeatureCrashes means that the sender, an entry, understands WorkerCrash and TaskCrashes.
 	FeatureCrashes Feature = 1 << 2
+	// FeatureUnresolved means that the sender, an entry, understands UnresolvedJobs.
+	FeatureUnresolved Feature = 1 << 3
 )
 
 // Closing reports that the sender is draining and accepts no new work. It does not close the
--- a/internal/connection/wire/run.go
+++ b/internal/connection/wire/run.go
@@ -22,6 +22,7 @@
 	TypeWorkerSpeed  Type = 80
 	TypeWorkerCrash  Type = 81
 	TypeTaskCrashes  Type = 82
+	TypeUnresolved   Type = 83
 )
 
 // RunOrder asks an agent to run tasks of one restartable job; to order a run is to request it in
@@ -163,6 +164,13 @@
 	Ages  []time.Duration // from the start of each task's run to the crash; empty if unknown
 }
 
+// UnresolvedJobs tells another entry the jobs of the sender with a run on a host that may be suspended: the receiver must not
+// start them. It replaces the sender's earlier message and is sent only to entries with FeatureUnresolved.
+type UnresolvedJobs struct {
+	_    struct{} `cbor:",toarray"`
+	Jobs []string
+}
+
 // MessageType implements Message.
 func (*RunOrder) MessageType() Type     { return TypeRunOrder }
 func (*RunCancel) MessageType() Type    { return TypeRunCancel }
@@ -178,6 +186,9 @@
 func (*WorkerCrash) MessageType() Type  { return TypeWorkerCrash }
 func (*TaskCrashes) MessageType() Type  { return TypeTaskCrashes }
 
+// MessageType implements Message.
+func (*UnresolvedJobs) MessageType() Type { return TypeUnresolved }
+
 var _ = register(map[Type]func() Message{
 	TypeRunOrder:     func() Message { return new(RunOrder) },
 	TypeRunCancel:    func() Message { return new(RunCancel) },
@@ -192,4 +203,5 @@
 	TypeWorkerSpeed:  func() Message { return new(WorkerSpeed) },
 	TypeWorkerCrash:  func() Message { return new(WorkerCrash) },
 	TypeTaskCrashes:  func() Message { return new(TaskCrashes) },
+	TypeUnresolved:   func() Message { return new(UnresolvedJobs) },
 })
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -53,7 +53,7 @@
 	case wire.RoleEntry:
 		logging.Log(e.config.Logger, logging.EntryPeerConnected, zap.String("entry", s.Peer().ID), zap.Uint64("incarnation", s.Peer().Incarnation))
 		e.peers[peerOf(s)] = s
-		s.Send(&wire.Pong{Features: wire.FeatureCapacities | wire.FeatureCrashes})
+		s.Send(&wire.Pong{Features: wire.FeatureCapacities | wire.FeatureCrashes | wire.FeatureUnresolved})
 		e.peerConnected(peerOf(s))
 	}
 }
@@ -68,6 +68,7 @@
 		}
 	case wire.RoleEntry:
 		delete(e.restartable.capacitiesSent, s)
+		delete(e.restartable.unresolvedSent, s)
 		if e.peers[peerOf(s)] == s {
 			logging.Log(e.config.Logger, logging.EntryPeerLost, zap.String("entry", s.Peer().ID), zap.Error(err))
 			delete(e.peers, peerOf(s))
@@ -113,6 +114,8 @@
 			e.stepScheduler(scheduler.PeerCapacities{Entry: from, Report: m})
 		case *wire.TaskCrashes:
 			e.stepScheduler(scheduler.PeerCrashes{Report: m})
+		case *wire.UnresolvedJobs:
+			e.stepScheduler(scheduler.PeerUnresolved{Entry: from, Report: m})
 		case *wire.UsageReport:
 			e.step(dispatch.PeerUsage{Entry: from.EntryID, Report: m})
 		}
--- a/internal/process/entry/restartable.go
+++ b/internal/process/entry/restartable.go
@@ -73,6 +73,8 @@
 	loggedReady     bool // readiness that was last logged
 	capacities      *wire.Capacities
 	capacitiesSent  map[*session.Session]*wire.Capacities // the report that each peer has last got
+	unresolved      *wire.UnresolvedJobs
+	unresolvedSent  map[*session.Session]*wire.UnresolvedJobs // the report that each peer has last got
 }
 
 func newRestartableJobs(identity session.Identity) restartableJobs {
@@ -80,6 +82,7 @@
 		scheduler: scheduler.New(scheduler.Config{Seed: identity.Incarnation, AvailabilityZone: identity.AvailabilityZone}),
 		callers:   map[string][]chan<- scheduler.Decided{}, verdicts: map[string]keptVerdict{},
 		capacities: &wire.Capacities{}, capacitiesSent: map[*session.Session]*wire.Capacities{},
+		unresolvedSent: map[*session.Session]*wire.UnresolvedJobs{},
 	}
 }
 
@@ -224,6 +227,10 @@
 		e.logConfinement(a)
 	case scheduler.ShareCrashes:
 		e.shareCrashes(a.Report)
+	case scheduler.ShareUnresolved:
+		e.restartable.unresolved = a.Report
+		logging.Log(e.config.Logger, logging.RunsUnresolved, zap.Int("jobs", len(a.Report.Jobs)))
+		e.shareUnresolved()
 	case scheduler.EligibilityChanged:
 		logging.Log(e.config.Logger, logging.AgentEligibilityChanged, zap.String("agent", a.Agent.ID), zap.String("reason", a.Eligibility.String()))
 	}
@@ -342,6 +349,7 @@
 			}
 		}
 		e.shareCapacities()
+		e.shareUnresolved()
 	}
 	e.status.availableAgents.Store(int64(j.scheduler.AvailableAgents(now)))
 	e.logReadiness()
@@ -362,6 +370,17 @@
 	}
 }
 
+// shareUnresolved sends the last report about unresolved jobs to each entry that has not got it yet.
+func (e *Entry) shareUnresolved() {
+	j := &e.restartable
+	for _, s := range e.peers {
+		if j.unresolvedSent[s] != j.unresolved && s.Supports(wire.FeatureUnresolved) {
+			j.unresolvedSent[s] = j.unresolved
+			s.Send(j.unresolved)
+		}
+	}
+}
+
 // shareCrashes sends a report about a worker crash to the other entries.
 func (e *Entry) shareCrashes(report *wire.TaskCrashes) {
 	for _, s := range e.peers {
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -102,6 +102,8 @@
 		"Workers have crashed, most likely because of tasks of the queue. Its tasks run only on the listed agents, and those of other queues avoid these, so the queue gets fewer workers; jobs that cannot start there are rejected. The field worker_crashes gives the number of crashes on which this rests. Check what the jobs of the queue do.")
 	QueueReleased = define(1359, zapcore.InfoLevel, "queue released",
 		"No worker has crashed under tasks of the confined queue for some seconds. Its tasks run on all agents again.")
+	RunsUnresolved = define(1360, zapcore.InfoLevel, "jobs with runs on unreachable hosts",
+		"The field jobs counts the jobs of this entry with a run at an agent that does not respond. Its host may be suspended, so no entry starts these jobs again until the agent is back or is given up; their callers get 504 meanwhile. If the number does not return to zero, find out why the agent is unreachable.")
 	RunUnsuccessful = define(1353, zapcore.InfoLevel, "run ended without success",
 		"A run of a restartable job failed, was lost, stopped or refused; the task is run again unless its job has a verdict.")
 )
--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -26,8 +26,8 @@
 	// run.Conflict, unless its state shortens the wait to busyBackoff; for the refused task nothing shortens it. A
 	// refusal with run.Outdated causes no backoff.
 	refusalBackoff = 250 * time.Millisecond
-	// lossTimeout is how long after the end of a session this entry's runs at the agent may still be
-	// executing: the agent stops them after the owner timeout, and if the agent is gone, their lease expires.
+	// lossTimeout is how long after the end of a session this entry's runs at the agent may still be executing if their
+	// host runs: the agent stops them after the owner timeout, and if the agent is gone, their lease expires.
 	lossTimeout = runner.OwnerTimeout + runner.DefaultLeaseTerm + 200*time.Millisecond
 	// startupGrace is how long a newly started process accepts jobs without a known worker: agents
 	// connect within a few hundred milliseconds.
@@ -98,7 +98,7 @@
 		a.roundTrip = localRoundTrip
 	}
 	if len(a.tasks) > 0 {
-		a.lossDeadline = now + lossTimeout // with the session, the agent continues the runs for OwnerTimeout
+		a.expectLoss(now, true) // with the session, the agent continues the runs for OwnerTimeout
 	}
 	m.repeatCancellations(a)
 }
@@ -110,7 +110,16 @@
 	}
 	m.rememberState(a)
 	a.connected, a.inventoryReceived, a.state.Open, a.unreported = false, false, false, nil
+	a.expectLoss(now, a.silent(now) && len(a.tasks) > 0)
+}
+
+// expectLoss sets the time at which the runs at the agent count as lost unless it polls or sends an inventory. A session
+// that an agent's host has closed shows that the host was running; one that ends in silence does not.
+func (a *agent) expectLoss(now time.Duration, suspended bool) {
 	a.lossDeadline = now + lossTimeout
+	if suspended {
+		a.lossDeadline += maxHostSuspension
+	}
 }
 
 // repeatCancellations asks the agent to stop the runs whose cancellation was requested without a session.
@@ -233,7 +242,7 @@
 		return WorkerClosed
 	case m.zonesOutOfService[a.zone]:
 		return ZoneOutOfService
-	case now >= a.heardAt+silentAfter:
+	case a.silent(now):
 		return Silent
 	case now < a.health.ProbationEnd:
 		return Probation
--- a/internal/request/scheduler/cluster_test.go
+++ b/internal/request/scheduler/cluster_test.go
@@ -40,11 +40,13 @@
 	pendingRenewals   []timedAction
 	unanswered        func(runner.Action) bool // if set, selects further calls that time out and are executed seconds later
 	// While the agent's process is paused, its events wait.
-	pausedUntil  time.Duration
-	backlog      []runner.Event
-	recentStarts []startedRun
-	refusing     bool // the worker has crashed: connections to it are refused
-	sentStates   map[runner.EntryID]*wire.WorkerState
+	pausedUntil time.Duration
+	backlog     []runner.Event
+	// While the host is suspended, neither the agent nor the worker runs.
+	suspendedUntil time.Duration
+	recentStarts   []startedRun
+	refusing       bool // the worker has crashed: connections to it are refused
+	sentStates     map[runner.EntryID]*wire.WorkerState
 }
 
 // entryProcess is an entry.
@@ -267,6 +269,10 @@
 }
 
 func (c *cluster) callWorker(n *node, agent scheduler.AgentID, action runner.Action) {
+	if c.now < n.suspendedUntil {
+		c.after(n.suspendedUntil-c.now, func() { c.callWorker(n, agent, action) })
+		return
+	}
 	if n.worker.Down || n.id != agent {
 		if n.refusing {
 			c.refuseCall(n, agent, action)
@@ -355,6 +361,8 @@
 			c.sendToAgent(e, entry, a)
 		case scheduler.ShareCrashes:
 			c.shareCrashes(e, a.Report)
+		case scheduler.ShareUnresolved:
+			c.shareUnresolved(e, a.Report)
 		case scheduler.Decided:
 			if c.onDecided != nil {
 				c.onDecided(a)
@@ -436,6 +444,9 @@
 }
 
 func (c *cluster) tickNode(n *node) {
+	if c.now < n.suspendedUntil {
+		return
+	}
 	ended := n.worker.Advance(c.now)
 	pendingRenewals := n.pendingRenewals
 	n.pendingRenewals = nil
--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -72,6 +72,13 @@
 // PeerCrashes reports a worker crash under tasks of another entry.
 type PeerCrashes struct{ Report *wire.TaskCrashes }
 
+// PeerUnresolved reports the jobs of another entry with runs on hosts that may be suspended. It replaces the earlier report of
+// the entry.
+type PeerUnresolved struct {
+	Entry  wire.Claimant
+	Report *wire.UnresolvedJobs
+}
+
 // ZonesChanged reports the availability zones that are out of service.
 type ZonesChanged struct{ OutOfService []string }
 
@@ -91,6 +98,7 @@
 func (PeerCapacities) schedulerEvent()    {}
 func (PeerDisconnected) schedulerEvent()  {}
 func (PeerCrashes) schedulerEvent()       {}
+func (PeerUnresolved) schedulerEvent()    {}
 func (ZonesChanged) schedulerEvent()      {}
 func (Submitted) schedulerEvent()         {}
 func (Cancelled) schedulerEvent()         {}
@@ -196,7 +204,11 @@
 // ShareCrashes asks to send a report about a worker crash under tasks of this entry to all other entries.
 type ShareCrashes struct{ Report *wire.TaskCrashes }
 
+// ShareUnresolved asks to send a report to all other entries, also to those that connect later.
+type ShareUnresolved struct{ Report *wire.UnresolvedJobs }
+
 func (Send) schedulerAction()               {}
+func (ShareUnresolved) schedulerAction()    {}
 func (Decided) schedulerAction()            {}
 func (Ordered) schedulerAction()            {}
 func (EligibilityChanged) schedulerAction() {}
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -145,13 +145,17 @@
 		m.setVerdict(now, j, Failed, nil)
 		return
 	}
-	if err := m.admissionError(now, j); err != nil {
+	unresolved := m.unresolvedElsewhere(now, s.ID)
+	if err := m.admissionError(now, j); err != nil && !unresolved {
 		m.setVerdict(now, j, Rejected, err)
 		return
 	}
 	m.enqueue(j)
 	m.statsOf(s.Queue).throughput.record(now, j.unplacedTasks, 0)
 	at := min(j.overloadLatestStart, j.deadline)
+	if unresolved {
+		at = now + checkInterval
+	}
 	if at <= now {
 		at = now + checkInterval
 	}
@@ -290,7 +294,12 @@
 		if j.hasVerdict {
 			continue
 		}
+		unresolved := m.allRefused(j) && m.unresolvedElsewhere(now, j.submission.ID)
 		switch {
+		case now >= j.deadline && unresolved:
+			m.setVerdict(now, j, Expired, failure.New(failure.MayHaveRun, "resubmit the job", "an earlier run of the job may be in progress on a host that does not respond"))
+		case unresolved:
+			m.scheduleCheck(min(j.deadline, now+checkInterval))
 		case now >= j.deadline && m.allRefused(j):
 			m.setVerdict(now, j, Rejected, m.overloadedError(j))
 		case now >= j.deadline:
@@ -390,6 +399,7 @@
 func (m *Machine) clearRun(t *task) {
 	a := t.agent
 	delete(a.tasks, t)
+	delete(m.unresolved.tasks, t)
 	t.agent, t.cancelRequested = nil, false
 	t.job.activeRuns--
 }
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -57,6 +57,7 @@
 	peerCapacities    map[wire.Claimant]*wire.Capacities
 	crashes           crashRecord
 	blame             queueBlame
+	unresolved        unresolvedRuns
 	poolsOutdated     bool            // the agents of confined queues have to be chosen again
 	openToAll         map[string]bool // services with an agent that is not reserved for a confined queue; valid while one is confined
 	meanRunTime       time.Duration   // moving average over all queues; zero before the first run
@@ -82,7 +83,7 @@
 	return &Machine{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), jobs: map[string]*jobState{}, agents: map[string]*agent{},
 		zonesOutOfService: map[string]bool{}, queues: map[string]*queueStats{}, workersByService: map[string]*serviceWorkers{},
-		peerCapacities: map[wire.Claimant]*wire.Capacities{}, crashes: newCrashRecord(), blame: newQueueBlame(), openToAll: map[string]bool{},
+		peerCapacities: map[wire.Claimant]*wire.Capacities{}, crashes: newCrashRecord(), blame: newQueueBlame(), unresolved: newUnresolvedRuns(), openToAll: map[string]bool{},
 	}
 }
 
@@ -111,6 +112,8 @@
 		m.recordPeer(now, e.Entry)
 	case PeerCrashes:
 		m.recordCrash(now, e.Report)
+	case PeerUnresolved:
+		m.recordUnresolved(now, e)
 	case ZonesChanged:
 		m.setZonesOutOfService(e.OutOfService)
 	case Submitted:
@@ -122,6 +125,7 @@
 	m.updatePools()
 	m.placeWaiting(now)
 	m.flushOrders(now)
+	m.shareUnresolved(now)
 	m.reportAgents(now)
 	return m.actions
 }
@@ -134,9 +138,10 @@
 	}
 }
 
-// held reports whether the job gets no runs because its caller may have resubmitted it during a pause.
+// held reports whether the job gets no runs because its caller may have resubmitted it during a pause, or because an
+// earlier run may be in progress.
 func (m *Machine) held(now time.Duration, j *jobState) bool {
-	return j.arrival <= m.heldArrival && now < m.heldUntil
+	return j.arrival <= m.heldArrival && now < m.heldUntil || m.unresolvedElsewhere(now, j.submission.ID)
 }
 
 func (m *Machine) emit(action Action) { m.actions = append(m.actions, action) }
@@ -157,8 +162,8 @@
 	a.heardAt = now
 	switch message := e.Message.(type) {
 	case *wire.OwnerPoll:
-		if a.lossDeadline != 0 { // with the reply, the agent continues the runs
-			a.lossDeadline = now + lossTimeout
+		if a.lossDeadline != 0 {
+			a.expectLoss(now, true) // with the reply, the agent continues the runs
 		}
 		m.emit(Send{Agent: a.id, Message: &wire.OwnerGrant{Sent: message.Sent}})
 	case *wire.RunInventory:
@@ -191,6 +196,9 @@
 	consider(m.blame.nextAt())
 	for _, a := range m.sortedAgents {
 		consider(a.lossDeadline)
+		if len(a.tasks) > 0 {
+			consider(a.heardAt + silentAfter)
+		}
 		if a.connected {
 			consider(a.backoffUntil)
 			consider(a.health.ProbationEnd)
