scheduler: answer a resubmission that waits for an earlier run

A caller that sent its job again to the same entry got no answer of its own while a run of the first submission had no outcome; since an entry waits longer for runs on hosts that may be suspended, that could take 20 s. It now gets 504 at the end of its wait, as at any other entry. Reports of other entries that have expired are forgotten.

Seen: "does not keep the caller of a resubmission waiting for longer than it asked" fails without the change.

--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -53,7 +53,8 @@
 	summary             JobSummary
 	// resubmission is a job with the same id that was submitted after the verdict; it is started when
 	// the last run of this one is over.
-	resubmission *Submission
+	resubmission  *Submission
+	resubmittedAt time.Duration
 }
 
 // task is one task of a job.
@@ -108,7 +109,8 @@
 	}
 	if known != nil {
 		if known.hasVerdict {
-			known.resubmission = s
+			known.resubmission, known.resubmittedAt = s, now
+			m.scheduleCheck(s.deadline(now))
 		}
 		return
 	}
@@ -116,11 +118,7 @@
 	m.stats.Submitted++
 	waitStartedAt := s.waitStart(now)
 	j := &jobState{submission: s, arrival: m.arrival, waitStartedAt: waitStartedAt}
-	wait := s.Wait
-	if wait <= 0 {
-		wait = defaultWait
-	}
-	j.deadline = waitStartedAt + max(wait-responseMargin, wait/2)
+	j.deadline = s.deadline(now)
 	longest := time.Duration(0)
 	for i, step := range s.Steps {
 		longest = max(longest, m.statsOf(s.Queue).runTimeRatio.predict(step.DeclaredRunTime))
@@ -170,6 +168,15 @@
 	return min(s.WaitingSince, now)
 }
 
+// deadline returns when the caller of a job that was submitted at now stops waiting, less responseMargin.
+func (s *Submission) deadline(now time.Duration) time.Duration {
+	wait := s.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	return s.waitStart(now) + max(wait-responseMargin, wait/2)
+}
+
 // admissionError returns why a job cannot be accepted at present, or nil.
 func (m *Machine) admissionError(now time.Duration, j *jobState) *failure.Error {
 	if !m.serviceAvailable(now, j.submission) {
@@ -292,12 +299,13 @@
 	m.nextCheckAt = 0
 	for _, j := range m.sortedJobs() {
 		if j.hasVerdict {
+			m.checkResubmission(now, j)
 			continue
 		}
 		unresolved := m.allRefused(j) && m.unresolvedElsewhere(now, j.submission.ID)
 		switch {
 		case now >= j.deadline && unresolved:
-			m.setVerdict(now, j, Expired, failure.New(failure.MayHaveRun, "resubmit the job", "an earlier run of the job may be in progress on a host that does not respond"))
+			m.setVerdict(now, j, Expired, errUnresolved())
 		case unresolved:
 			m.scheduleCheck(min(j.deadline, now+checkInterval))
 		case now >= j.deadline && m.allRefused(j):
@@ -315,6 +323,21 @@
 	}
 }
 
+// checkResubmission answers the caller of a resubmission that waits for a run of the earlier job until its wait is over.
+func (m *Machine) checkResubmission(now time.Duration, j *jobState) {
+	s := j.resubmission
+	if s == nil {
+		return
+	}
+	if deadline := s.deadline(j.resubmittedAt); now < deadline {
+		m.scheduleCheck(deadline)
+		return
+	}
+	j.resubmission = nil
+	m.stats.count(Expired)
+	m.emit(Decided{Job: s.ID, Verdict: Expired, Error: errUnresolved(), Summary: JobSummary{Queue: s.Queue, Tasks: len(j.tasks), Age: now - j.resubmittedAt, FirstRun: -1}})
+}
+
 // allRefused reports whether no task of the job can have started: no run was ordered, or every ordered run
 // was refused.
 func (m *Machine) allRefused(j *jobState) bool {
--- a/internal/request/scheduler/suspension_test.go
+++ b/internal/request/scheduler/suspension_test.go
@@ -92,6 +92,29 @@
 		}
 	})
 
+	// Guards against a caller that resubmits its job to the same entry and gets no answer while the run has no outcome.
+	ginkgo.It("does not keep the caller of a resubmission waiting for longer than it asked", func() {
+		c := newCluster(1, 3)
+		var verdicts []scheduler.Verdict
+		c.onDecided = func(d scheduler.Decided) { verdicts = append(verdicts, d.Verdict) }
+		s := c.submission(jobClass{name: "one task", tasks: 1, runTime: time.Second})
+		s.Steps[0].Count, s.Wait = 1, 1500*time.Millisecond
+		c.actual[run.TaskID{Job: s.ID}] = time.Second
+		c.submit(c.entries[0], s)
+		c.advance(startDelay)
+		for _, n := range c.nodes {
+			if len(n.worker.Running) > 0 {
+				c.suspendHost(n, 10*time.Second)
+			}
+		}
+		c.advance(1500*time.Millisecond + resubmitDelay)
+		gomega.Expect(verdicts).To(gomega.Equal([]scheduler.Verdict{scheduler.Expired}))
+		again := *s
+		c.submit(c.entries[0], &again)
+		c.advance(1500 * time.Millisecond)
+		gomega.Expect(verdicts).To(gomega.Equal([]scheduler.Verdict{scheduler.Expired, scheduler.Expired}))
+	})
+
 	// Guards against jobs that wait for a host that is lost for good, and for its suspension no longer.
 	ginkgo.It("is repeated once the host cannot be suspended any more", func() {
 		c := newCluster(3, 3)
--- a/internal/request/scheduler/unresolved.go
+++ b/internal/request/scheduler/unresolved.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/failure"
 )
 
 // maxHostSuspension is the longest suspension of a host that is expected. While the host of an agent may be suspended, its
@@ -30,6 +31,11 @@
 	return unresolvedRuns{tasks: map[*task]struct{}{}, peers: map[wire.Claimant]peerUnresolved{}}
 }
 
+// errUnresolved is the error of a job that waited for the outcome of an earlier run until its caller's wait was over.
+func errUnresolved() *failure.Error {
+	return failure.New(failure.MayHaveRun, "resubmit the job", "an earlier run of the job may be in progress on a host that does not respond")
+}
+
 // silent reports whether nothing was received from the agent for silentAfter.
 func (a *agent) silent(now time.Duration) bool { return now >= a.heardAt+silentAfter }
 
@@ -59,12 +65,12 @@
 
 // recordUnresolved keeps the report of another entry. It expires unless it is replaced: the entry may end.
 func (m *Machine) recordUnresolved(now time.Duration, e PeerUnresolved) {
-	if len(e.Report.Jobs) == 0 {
-		delete(m.unresolved.peers, e.Entry)
-		return
+	peers := m.unresolved.peers
+	maps.DeleteFunc(peers, func(entry wire.Claimant, p peerUnresolved) bool { return entry == e.Entry || now >= p.expiry })
+	if len(e.Report.Jobs) > 0 {
+		jobs := slices.Sorted(slices.Values(e.Report.Jobs))
+		peers[e.Entry] = peerUnresolved{jobs: jobs, expiry: now + maxHostSuspension + lossTimeout}
 	}
-	jobs := slices.Sorted(slices.Values(e.Report.Jobs))
-	m.unresolved.peers[e.Entry] = peerUnresolved{jobs: jobs, expiry: now + maxHostSuspension + lossTimeout}
 }
 
 // unresolvedElsewhere reports whether a run of the job that another entry has ordered may be in progress.
--- a/internal/version/replication/departure_test.go
+++ b/internal/version/replication/departure_test.go
@@ -124,6 +124,21 @@
 		ginkgo.Entry("if a follower of five ends", 5, func(c *cluster) *machine { return c.follower(2) }),
 	)
 
+	// Guards against a waiting process that replaces a lost member too late for the next loss, at the end of the time that a
+	// replacement may take.
+	ginkgo.It("is not needed for a waiting process to replace a lost member", func() {
+		for k, losing := range []func(*cluster) *machine{(*cluster).leader, func(c *cluster) *machine { return c.follower(0) }} {
+			c, _ := newClusterWithSuccessors(uint64(60+k), 3, 1)
+			lost := losing(c)
+			lost.crash(false)
+			c.machines = c.without(lost)
+			c.advance(5 * time.Second)
+			c.leader().replaceDisk()
+			c.expectRecovery("the next loss")
+			gomega.Expect(c.leader().core.Status().Configuration.Members).To(gomega.HaveLen(3))
+		}
+	})
+
 	// Guards against a hand-over in whose course the group bears fewer losses than before.
 	ginkgo.It("leaves the group able to bear the loss of a disk at any moment before it", func() {
 		for delay := time.Duration(0); delay <= 300*time.Millisecond; delay += timeStep {
