runner: send an unanswered start again under a higher token

Cause: an unanswered start held its slot for the time-out of 30 ms and a report, then went back to the entry as lost and was placed again; with two in five calls unanswered, most jobs of eight tasks had a task that needed this twice or more. Change: the start is sent again with the same run number and a higher token, at once when it times out and after 6 ms while calls go unanswered, at most four times. The worker starts only one copy; the last copy decides, and after it the next report. An unanswered copy extends the period in which calls are expected to go unanswered, also if another copy was accepted.

--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -120,6 +120,7 @@
 }{
 	{describe("run_starts_total", "Start calls to the worker."), func(s *runner.Stats) uint64 { return s.Starts }},
 	{describe("run_starts_unanswered_total", "Start calls without an answer."), func(s *runner.Stats) uint64 { return s.Unanswered }},
+	{describe("run_starts_repeated_total", "Start calls sent again because an earlier one was not answered."), func(s *runner.Stats) uint64 { return s.StartsRepeated }},
 	{describe("run_stops_total", "Stop calls to the worker."), func(s *runner.Stats) uint64 { return s.Stops }},
 	{describe("run_renewals_total", "Renewals of the worker's lease."), func(s *runner.Stats) uint64 { return s.Renewals }},
 	// RenewalsFailed also counts renewals that were refused or not sent.
--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -44,29 +44,33 @@
 
 func (m *Machine) startReturned(now time.Duration, e StartReturned) {
 	m.leaseCallReturned(leaseCall{kind: startCall, run: e.Run}, e.Result)
-	m.noteResult(now, e.Worker, e.Result)
+	w := &m.worker
+	if e.Result == NoResponse && sameIncarnation(w.id, e.Worker) {
+		m.noteUnanswered(now)
+		m.stats.Unanswered++
+	}
 	r := m.records[e.Run]
-	if r == nil || r.phase != starting || !sameIncarnation(m.worker.id, e.Worker) {
+	if r == nil || r.phase != starting || e.Token == r.token || e.Result != NoResponse {
+		m.noteResult(now, e.Worker, e.Result) // the worker may have responded since an earlier copy was sent
+	}
+	if r == nil || r.phase != starting || !sameIncarnation(w.id, e.Worker) {
 		return
 	}
-	w := &m.worker
 	if e.Clock > 0 {
 		w.clock, w.clockAt = e.Clock, now
 	}
-	switch e.Result {
-	case Accepted:
+	switch {
+	case e.Token != r.token:
+		m.earlierCopyReturned(now, r, e.Result)
+	case r.copies > 1:
+		m.lastCopyReturned(now, r, e)
+	case e.Result == Accepted:
 		w.heardAt = now
 		m.confirmRunning(now, r)
-	case Fenced:
+	case e.Result == Fenced:
 		m.startFenced(now, r, e)
-	case NoResponse:
-		m.noteUnanswered(now)
-		m.stats.Unanswered++
-		r.phase, r.confirmedAt = unconfirmed, now
-		if r.token == w.token {
-			w.token += tokenIncrement // a worker that has seen the new token refuses the start if it arrives later
-		}
-		w.outOfBandWanted = true
+	case e.Result == NoResponse:
+		m.startUnanswered(now, r)
 	default:
 		m.endUnstarted(now, r, e.Result)
 	}
@@ -77,6 +81,7 @@
 // the worker, which had accepted this token before, and may have reported the run as over: it must not be sent again.
 func (m *Machine) startFenced(now time.Duration, r *record, e StartReturned) {
 	if e.Token < m.worker.token && !r.cancelRequested {
+		r.copies = 0 // the refused call is certainly not carried out
 		m.sendStart(now, r)
 		return
 	}
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -130,6 +130,9 @@
 	cancelRequested bool
 	stopRetryAt     time.Duration // when the stop is repeated; zero while a stop call is pending
 	token           uint64        // fencing token of the last start call
+	copies          int           // start calls that may be carried out, see repeatStarts
+	sentAt          time.Duration // time of the last start call
+	repeatAt        time.Duration // when the start is sent again while calls go unanswered
 }
 
 // Machine is the state machine. It performs no I/O and reads no clock.
@@ -214,6 +217,7 @@
 // must not start, start calls of those that fit, and updates to the entries.
 func (m *Machine) sendDue(now time.Duration) {
 	m.reportCrash()
+	m.repeatStarts(now)
 	m.sendDueRenewals(now)
 	if !m.acceptsStarts(now) {
 		for len(m.queue) > 0 {
@@ -257,7 +261,7 @@
 
 // start sends the start call. From then on the run may be executing.
 func (m *Machine) start(now time.Duration, r *record) {
-	r.phase, r.startedAt, r.confirmedAt, r.stopAccepted = starting, now, now, false
+	r.phase, r.startedAt, r.confirmedAt, r.stopAccepted, r.copies = starting, now, now, false, 0
 	m.used = job.Sum(m.used, r.need)
 	m.startedByTask[r.id.Task] = r
 	m.sendStart(now, r)
@@ -266,6 +270,8 @@
 func (m *Machine) sendStart(now time.Duration, r *record) {
 	m.stats.Starts++
 	r.token = m.worker.token
+	r.copies++
+	r.sentAt, r.confirmedAt, r.repeatAt = now, now, now+repeatInterval
 	until := m.requestLease(now, leaseCall{kind: startCall, run: r.id})
 	m.worker.leaseAssured = max(m.worker.leaseAssured, until)
 	m.emit(Start{Worker: m.worker.id, Run: r.id, Spec: r.spec, Token: m.worker.token, Until: m.worker.onWorkerClock(until)})
@@ -319,7 +325,7 @@
 	if outcome == run.Done || outcome == run.Failed {
 		end.RunTime = now - r.startedAt
 	}
-	if outcome == run.Done && r.predicted > 0 {
+	if outcome == run.Done && r.predicted > 0 && r.copies == 1 {
 		m.worker.speed.ObserveRatio(end.RunTime, r.predicted)
 	}
 	if o := m.owners[r.owner]; o != nil {
@@ -341,10 +347,13 @@
 		consider(r.queueDeadline)
 	}
 	for _, r := range m.startedByTask {
-		switch r.phase {
-		case stopping:
+		if r.phase == starting && m.now < m.worker.lossyUntil {
+			consider(r.repeatAt)
+		}
+		if r.phase == stopping {
 			consider(r.stopRetryAt)
-		case unconfirmed:
+		}
+		if r.undecided() {
 			consider(r.confirmedAt + lateCallPeriod)
 		}
 	}
--- a/internal/request/runner/pause.go
+++ b/internal/request/runner/pause.go
@@ -30,7 +30,7 @@
 		w.clockAt += paused
 	}
 	for _, r := range m.startedByTask {
-		if r.phase == unconfirmed {
+		if r.undecided() {
 			r.confirmedAt += paused // of a start that may still wait at the worker
 		}
 	}
--- /dev/null
+++ b/internal/request/runner/repeat.go
@@ -0,0 +1,106 @@
+package runner
+
+import "time"
+
+const (
+	// repeatInterval is the time without a response after which a start is sent again while calls go unanswered. A
+	// worker that responds does so within a few milliseconds.
+	repeatInterval = 6 * time.Millisecond
+	// lateTick is how late a tick may be. If it is later, this process did not run for a while and the response may
+	// have arrived.
+	lateTick = 4 * time.Millisecond
+	// maxStartCopies bounds the calls for one start. With two calls in five unanswered, 3% of the starts need more.
+	maxStartCopies = 4
+)
+
+// repeatStarts sends those starts again that have waited for a response for repeatInterval while calls go unanswered.
+// The copies have the same run number, of which the worker starts only one, and each has a higher token than the one
+// before, so the worker refuses the earlier ones once it has carried out a later one. When maxStartCopies have been
+// sent, the next report decides about the run.
+func (m *Machine) repeatStarts(now time.Duration) {
+	if now >= m.worker.lossyUntil {
+		return
+	}
+	for _, r := range m.startedByArrival() {
+		if r.phase != starting || now < r.repeatAt {
+			continue
+		}
+		switch {
+		case now > r.repeatAt+lateTick:
+			r.repeatAt = now + lateTick
+		case r.copies >= maxStartCopies:
+			m.startUnconfirmed(now, r)
+		case !m.repeatStart(now, r):
+			r.repeatAt = now + repeatInterval
+		}
+	}
+}
+
+// repeatStart sends a start again and reports whether it did.
+func (m *Machine) repeatStart(now time.Duration, r *record) bool {
+	if r.copies >= maxStartCopies || r.cancelRequested || !m.acceptsStarts(now) || len(m.worker.unknownTasks) > 0 || !m.leaseSuffices(now, r) {
+		return false
+	}
+	m.outdateStart(r)
+	m.stats.StartsRepeated++
+	m.sendStart(now, r)
+	return true
+}
+
+// startUnanswered sends the start again whose last call was not answered, and requests a report beside it.
+func (m *Machine) startUnanswered(now time.Duration, r *record) {
+	if !m.repeatStart(now, r) {
+		m.startUnconfirmed(now, r)
+	}
+	m.worker.outOfBandWanted = true
+}
+
+// startUnconfirmed records that the worker may carry out the start, now or later. The next report decides.
+func (m *Machine) startUnconfirmed(now time.Duration, r *record) {
+	r.phase, r.confirmedAt = unconfirmed, now
+	m.outdateStart(r)
+	m.worker.outOfBandWanted = true
+}
+
+// outdateStart raises the token above that of the last start call for the run: a worker that has seen the new token
+// refuses the start if it arrives later.
+func (m *Machine) outdateStart(r *record) {
+	if r.token == m.worker.token {
+		m.worker.token += tokenIncrement
+	}
+}
+
+// earlierCopyReturned handles the outcome of a start call that was sent again since. Unless the call was accepted, the
+// outcome of the last copy decides.
+func (m *Machine) earlierCopyReturned(now time.Duration, r *record, result CallResult) {
+	if result == Accepted {
+		m.worker.heardAt = now
+		m.confirmRunning(now, r)
+	}
+}
+
+// lastCopyReturned handles the outcome of the last of several calls for one start. If it was not accepted, the run may
+// be in progress nevertheless, because an earlier copy was carried out.
+func (m *Machine) lastCopyReturned(now time.Duration, r *record, e StartReturned) {
+	switch e.Result {
+	case Accepted:
+		m.worker.heardAt = now
+		r.startedAt = r.sentAt
+		m.confirmRunning(now, r)
+	case Fenced:
+		if e.Token < m.worker.token && m.repeatStart(now, r) {
+			return
+		}
+		m.raiseToken(e.Token)
+		m.startUnconfirmed(now, r)
+	case NoResponse:
+		m.startUnanswered(now, r)
+	default:
+		m.startUnconfirmed(now, r)
+	}
+}
+
+// undecided reports whether an unanswered start call may have started the run, or may start it later.
+func (r *record) undecided() bool {
+	return r.phase == unconfirmed || r.phase == starting && r.copies > 1
+}
--- a/internal/request/runner/stats.go
+++ b/internal/request/runner/stats.go
@@ -13,6 +13,7 @@
 type Stats struct {
 	Starts         uint64 // start calls
 	Unanswered     uint64 // unanswered start calls
+	StartsRepeated uint64 // start calls for a run whose earlier start call was not answered
 	Stops          uint64 // stop calls
 	Renewals       uint64
 	RenewalsFailed uint64 // renewals neither accepted nor fenced: unanswered, refused or not sent
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -142,7 +142,7 @@
 	return w.clock + (at - w.clockAt)
 }
 
-// expireLease reports the runs as lost if the worker sent no report until its lease expired. An unconfirmed run is kept
+// expireLease reports the runs as lost if the worker sent no report until its lease expired. An undecided run is kept
 // while its start may still be carried out: a worker that has restarted with the same ID does so, because the lease in
 // the call refers to the clock of its previous incarnation.
 func (m *Machine) expireLease(now time.Duration) {
@@ -151,7 +151,7 @@
 		return
 	}
 	for _, r := range m.startedByArrival() {
-		if r.phase != unconfirmed || now >= r.confirmedAt+lateCallPeriod {
+		if !r.undecided() || now >= r.confirmedAt+lateCallPeriod {
 			m.endRun(now, r, run.Lost, run.LeaseExpired)
 		}
 	}
@@ -378,7 +378,7 @@
 	for _, r := range m.startedByArrival() {
 		isListed := listed[r.id]
 		switch {
-		case r.phase == unconfirmed && isListed:
+		case r.undecided() && isListed:
 			m.confirmRunning(now, r)
 		case r.phase == unconfirmed && e.Token > r.token:
 			m.endRun(now, r, run.Lost, run.NotReported)
--- a/internal/request/scheduler/cluster_test.go
+++ b/internal/request/scheduler/cluster_test.go
@@ -75,6 +75,7 @@
 	submitted, decidedAt time.Duration
 	actual               time.Duration // run time of the longest task at mean speed
 	objective            time.Duration // computed from the actual run time
+	class                string        // name of its jobClass
 }
 
 // cluster connects entries, agents and workers in simulated time. It fails the test if a worker starts
--- a/internal/request/scheduler/load_test.go
+++ b/internal/request/scheduler/load_test.go
@@ -40,7 +40,7 @@
 	step := scheduler.Step{Count: tasks, Need: job.Resources{MilliProcessors: int64(float64(c.meanNeed) * spread(0.2)), MemoryBytes: 64 << 20}}
 	step.DeclaredRunTime = time.Duration(runTime * spread(0.4))
 	s.Steps = []scheduler.Step{step}
-	record := &jobRecord{submitted: c.now}
+	record := &jobRecord{submitted: c.now, class: k.name}
 	for n := range tasks {
 		length := time.Duration(runTime * (0.85 + 0.3*c.random.Float64()))
 		c.actual[run.TaskID{Job: s.ID, Index: uint16(n)}] = length
