--- a/internal/version/storage/faultfs/faultfs.go
+++ b/internal/version/storage/faultfs/faultfs.go
@@ -41,19 +41,38 @@
 	FullSyncs, FullRenames int
 	// Syncs counts the syncs of files.
 	Syncs int
+	// KillAfter is the number of further changes of files and names that take effect before the process is killed;
+	// negative means no limit. Every later change fails and has no effect until Kill or Crash.
+	KillAfter int
 }
 
 // New returns an empty data folder. The seed determines which unsynced content a crash destroys.
 func New(seed uint64) *FS {
-	return &FS{names: map[string]*inode{}, syncedNames: map[string]*inode{}, random: rand.New(rand.NewPCG(seed, 1)), Space: -1}
+	return &FS{names: map[string]*inode{}, syncedNames: map[string]*inode{}, random: rand.New(rand.NewPCG(seed, 1)), Space: -1, KillAfter: -1}
+}
+
+// Kill ends the process that uses the data folder. The operating system continues, so everything that was written
+// stays, synced or not.
+func (f *FS) Kill() {
+	f.epoch++
+	f.locked = false
+	f.KillAfter = -1
+}
+
+// isKilled counts a change and reports whether it comes after the kill that KillAfter sets.
+func (f *FS) isKilled() bool {
+	if f.KillAfter > 0 {
+		f.KillAfter--
+		return false
+	}
+	return f.KillAfter == 0
 }
 
 // Crash ends the process that uses the data folder. Unsynced bytes at the end of a file are lost from
 // a random position on; some of the remaining ones may be zeroed, as when blocks reach the disk out of
 // order.
 func (f *FS) Crash() {
-	f.epoch++
-	f.locked = false
+	f.Kill()
 	f.names = map[string]*inode{}
 	for _, name := range sortedKeys(f.syncedNames) {
 		n := f.syncedNames[name]
@@ -120,6 +139,9 @@
 
 // Create implements storage.FileSystem.
 func (f *FS) Create(name string) (storage.File, error) {
+	if f.isKilled() {
+		return nil, unix.EIO
+	}
 	if f.Space == 0 || f.Full.Load() {
 		return nil, unix.ENOSPC
 	}
@@ -139,6 +161,9 @@
 
 // Rename implements storage.FileSystem.
 func (f *FS) Rename(from, to string) error {
+	if f.isKilled() {
+		return unix.EIO
+	}
 	n, ok := f.names[from]
 	if !ok {
 		return fs.ErrNotExist
@@ -154,6 +179,9 @@
 
 // Remove implements storage.FileSystem.
 func (f *FS) Remove(name string) error {
+	if f.isKilled() {
+		return unix.EIO
+	}
 	if _, ok := f.names[name]; !ok {
 		return fs.ErrNotExist
 	}
@@ -166,7 +194,7 @@
 
 // SyncDirectory implements storage.FileSystem.
 func (f *FS) SyncDirectory() error {
-	if f.failsSync() {
+	if f.isKilled() || f.failsSync() {
 		return unix.EIO
 	}
 	f.syncedNames = make(map[string]*inode, len(f.names))
@@ -208,7 +236,7 @@
 }
 
 func (h *handle) Write(data []byte) (int, error) {
-	if h.epoch != h.fs.epoch {
+	if h.epoch != h.fs.epoch || h.fs.isKilled() {
 		return 0, unix.EIO
 	}
 	if h.fs.Full.Load() {
@@ -231,7 +259,7 @@
 
 func (h *handle) Sync() error {
 	h.fs.Syncs++
-	if h.epoch != h.fs.epoch || h.fs.failsSync() {
+	if h.epoch != h.fs.epoch || h.fs.isKilled() || h.fs.failsSync() {
 		return unix.EIO
 	}
 	if h.fs.FullSyncs > 0 {
@@ -243,6 +271,9 @@
 }
 
 func (h *handle) Truncate(size int64) error {
+	if h.fs.isKilled() {
+		return unix.EIO
+	}
 	h.inode.data = h.inode.data[:size:size]
 	return nil
 }
--- a/internal/version/storage/open.go
+++ b/internal/version/storage/open.go
@@ -69,6 +69,10 @@
 	if !known {
 		return replication.Recovered{}, s.initialise(names, newIdentity())
 	}
+	// A kill between a rename and the sync of the directory leaves names that a loss of power would undo.
+	if err := s.files.SyncDirectory(); err != nil {
+		return replication.Recovered{}, err
+	}
 	return s.recover(names)
 }
 
@@ -171,14 +175,21 @@
 	return &snapshot, nil
 }
 
-// readLog decodes the log, truncates a torn end and omits entries that the snapshot replaces.
+// readLog decodes the log and truncates a torn end. If the log holds entries that the snapshot covers or contradicts
+// instead of continuing it, a new log without them replaces it: entries that are appended behind them would leave a gap,
+// or would be omitted with them at the next start.
 func (s *Store) readLog(recovered *replication.Recovered) error {
 	name := s.logName(s.generation)
 	data, err := s.files.ReadFile(name)
 	if err != nil {
 		return err
 	}
-	c := decodeLog(data, s.initialChecksum, s.generation > 0)
+	snapshot := recovered.Snapshot
+	c := logContent{}
+	if snapshot != nil {
+		c.snapshot = snapshot.Index
+	}
+	c = c.decode(data, s.initialChecksum, s.generation > 0)
 	if c.damage != "" {
 		return failure.New(failure.Internal, replaceRemedy, "%s is damaged at offset %d of %d: %s", s.files.Path(name), c.damageOffset, len(data), c.damage)
 	}
@@ -197,7 +208,6 @@
 	}
 	s.size, s.writeGroups = int64(c.validBytes), c.writeGroups
 	recovered.State, recovered.Entries = c.state, c.entries
-	snapshot := recovered.Snapshot
 	if snapshot == nil {
 		if len(c.entries) > 0 && c.entries[0].Index != 1 {
 			return s.gapError(name, 0, c.entries[0].Index)
@@ -208,11 +218,17 @@
 		return s.gapError(name, snapshot.Index, c.entries[0].Index)
 	}
 	if !isContinuedBy(snapshot, c.entries) {
-		// A snapshot from a leader replaces the log, and the process crashed before the new log was
+		// A snapshot from a leader replaces the log, and the process was killed before the new log was
 		// in place.
 		recovered.Entries = nil
+	} else if !c.hasGap {
+		return nil
+	}
+	records, err := appendBatch(nil, &replication.Batch{State: &recovered.State, Entries: recovered.Entries})
+	if err != nil {
+		return err
 	}
-	return nil
+	return s.replaceLog(records)
 }
 
 func (s *Store) gapError(name string, covered, first uint64) error {
--- a/internal/version/storage/record.go
+++ b/internal/version/storage/record.go
@@ -85,6 +85,8 @@
 	entries      []replication.Entry
 	writeGroups  uint64 // number of complete write groups
 	validBytes   int    // bytes of the complete write groups
+	snapshot     uint64 // index of the snapshot that the log belongs to, zero if none
+	hasGap       bool   // the entries before the one after the snapshot were left by a release that kept them
 	damage       string // damage other than a torn write at the end; empty if there is none
 	damageOffset int
 }
@@ -96,7 +98,10 @@
 // written by a rewrite: the first write group is synced before the file gets its name, so it must be
 // complete.
 func decodeLog(data []byte, initial uint32, requireFirstWriteGroup bool) logContent {
-	var c logContent
+	return logContent{}.decode(data, initial, requireFirstWriteGroup)
+}
+
+func (c logContent) decode(data []byte, initial uint32, requireFirstWriteGroup bool) logContent {
 	var pending []record
 	for offset := 0; offset < len(data); {
 		r, size, ok := decodeRecord(data[offset:], initial)
@@ -148,6 +153,13 @@
 	}
 	if len(c.entries) > 0 {
 		first, last := c.entries[0].Index, c.entries[len(c.entries)-1].Index
+		if e.Index > last+1 && e.Index == c.snapshot+1 {
+			// Earlier releases appended behind the entries of a log that an installed snapshot replaced. No records
+			// are missing, because write groups are numbered.
+			c.hasGap = true
+			c.entries = append(c.entries[:0], e)
+			return ""
+		}
 		if e.Index > last+1 || e.Index < first {
 			return "entry index out of sequence"
 		}
--- a/internal/version/storage/storage.go
+++ b/internal/version/storage/storage.go
@@ -132,6 +132,20 @@
 	if err != nil {
 		return err
 	}
+	oldSnapshot := s.snapshot
+	if err := s.replaceLog(records); err != nil {
+		return err
+	}
+	s.snapshot = b.Rewrite.Index
+	// Files that cannot be deleted now are deleted when the data folder is opened the next time.
+	if oldSnapshot != 0 && oldSnapshot != s.snapshot {
+		_ = s.files.Remove(snapshotName(oldSnapshot))
+	}
+	return nil
+}
+
+// replaceLog starts a log of the next generation with the records as its first write group, and deletes the old log.
+func (s *Store) replaceLog(records []record) error {
 	name := s.logName(s.generation + 1)
 	data := appendWriteGroup(nil, s.initialChecksum, 1, records)
 	if err := s.replace(name, data); err != nil {
@@ -141,18 +155,13 @@
 	if err != nil {
 		return s.markBroken("open", name, err)
 	}
-	old, oldSnapshot := s.logName(s.generation), s.snapshot
+	old := s.logName(s.generation)
 	_ = s.log.Close()
 	s.log, s.torn = log, false
 	s.generation++
 	s.writeGroups = 1
 	s.size = int64(len(data))
-	s.snapshot = b.Rewrite.Index
-	// Files that cannot be deleted now are deleted when the data folder is opened the next time.
 	_ = s.files.Remove(old)
-	if oldSnapshot != 0 && oldSnapshot != s.snapshot {
-		_ = s.files.Remove(snapshotName(oldSnapshot))
-	}
 	return nil
 }
 
