runner: refuse the last copy of a start at a worker that has restarted

Cause: if an earlier copy of a start was carried out and the run had ended, the last copy had the current token. A worker that restarted with the same ID meanwhile accepted it, because it knows neither the token nor the run. Change: the token is raised above that of every unanswered start call, and when a worker restarts with the same ID.

--- a/internal/request/runner/calls.go
+++ b/internal/request/runner/calls.go
@@ -48,6 +48,7 @@
 	if e.Result == NoResponse && sameIncarnation(w.id, e.Worker) {
 		m.noteUnanswered(now)
 		m.stats.Unanswered++
+		m.raiseAbove(e.Token)
 	}
 	r := m.records[e.Run]
 	if r == nil || r.phase != starting || e.Token == r.token || e.Result != NoResponse {
--- a/internal/request/runner/repeat.go
+++ b/internal/request/runner/repeat.go
@@ -41,7 +41,7 @@
 	if r.copies >= maxStartCopies || r.cancelRequested || !m.acceptsStarts(now) || len(m.worker.unknownTasks) > 0 || !m.leaseSuffices(now, r) {
 		return false
 	}
-	m.outdateStart(r)
+	m.raiseAbove(r.token)
 	m.stats.StartsRepeated++
 	m.sendStart(now, r)
 	return true
@@ -58,14 +58,14 @@
 // startUnconfirmed records that the worker may carry out the start, now or later. The next report decides.
 func (m *Machine) startUnconfirmed(now time.Duration, r *record) {
 	r.phase, r.confirmedAt = unconfirmed, now
-	m.outdateStart(r)
+	m.raiseAbove(r.token)
 	m.worker.outOfBandWanted = true
 }
 
-// outdateStart raises the token above that of the last start call for the run: a worker that has seen the new token
-// refuses the start if it arrives later.
-func (m *Machine) outdateStart(r *record) {
-	if r.token == m.worker.token {
+// raiseAbove raises the token above that of a start call: a worker that has seen the new token refuses the call if it
+// arrives later.
+func (m *Machine) raiseAbove(token uint64) {
+	if token == m.worker.token {
 		m.worker.token += tokenIncrement
 	}
 }
--- a/internal/request/runner/repeat_test.go
+++ b/internal/request/runner/repeat_test.go
@@ -86,3 +86,25 @@
 		t.Fatalf("runs in progress: %v; the run has an outcome: %t; %s", h.worker.Running, !h.open, h.fault)
 	}
 }
+
+// TestRepeatedStartOnRestartedWorker guards against a run that starts again after its end, because a worker that has
+// restarted with the same ID carries out the last copy of its start call.
+func TestRepeatedStartOnRestartedWorker(t *testing.T) {
+	h := newHandOver(&choices{})
+	h.leaveStartUnanswered(t)
+	h.execute(h.start(t)) // the first call
+	h.executeRenewals()
+	h.worker.Running[0].EndsAt = h.now
+	h.advance(time.Millisecond)
+	h.executeRenewals()
+	if h.open {
+		t.Fatal("the end of the run is not reported")
+	}
+	h.restartWorker()
+	h.announceWorker()
+	h.executeRenewals()
+	h.execute(h.start(t)) // the second call
+	if h.fault != "" {
+		t.Fatal(h.fault)
+	}
+}
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -102,6 +102,9 @@
 	w := &m.worker
 	sameID := w.id.ID == id.ID
 	token := w.token
+	if sameID {
+		token += tokenIncrement // a start call of a run that is over may still be carried out
+	}
 	for _, r := range m.startedByArrival() {
 		if !sameID {
 			m.endRun(now, r, run.Lost, run.WorkerReplaced)
@@ -109,7 +112,6 @@
 		}
 		r.phase, r.confirmedAt = unconfirmed, now
 		r.stopAccepted, r.stopRetryAt = false, 0
-		token = w.token + tokenIncrement
 	}
 	*w = workerState{present: true, id: id, token: token, tokenStep: w.tokenStep, nextLongPollAt: now, leaseEnd: w.leaseEnd}
 }
