entry: setting overload_order, event 1361 and metric of refusals by rule

The key overload_order of section [entry] chooses the order of waiting jobs. An entry sends ranks only to agents that announce them, and the earlier messages to others. Event 1361 and pollenpaddle_entry_restartable_jobs_refused_total name the rule of each refusal.

--- a/internal/process/daemon/assemble.go
+++ b/internal/process/daemon/assemble.go
@@ -91,7 +91,7 @@
 	if s.HasRole(wire.RoleEntry) {
 		identity.Role = wire.RoleEntry
 		d.add(wire.RoleEntry, entry.New(entry.Config{
-			Identity: identity, Key: key, Seeds: s.Process.ControlMembers, Policy: s.Entry.Policy,
+			Identity: identity, Key: key, Seeds: s.Process.ControlMembers, Policy: s.Entry.Policy, OverloadOrder: s.Entry.OverloadOrder,
 			Limits:          job.Limits{Tasks: s.Entry.MaxTasks, BodyBytes: s.Entry.MaxBodyBytes},
 			ResultRetention: s.Entry.ResultRetention, ClaimRetention: s.Entry.ClaimRetention,
 			Tokens: tokens, Logger: d.Logger, Registerer: d.Registry, ClaimMinimumFolder: claimMinimumFolder(s),
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -58,6 +58,7 @@
 	Seeds    []string // addresses of the control members; with automatic membership, of the seeds
 
 	Policy          string
+	OverloadOrder   string // order of waiting restartable jobs, see scheduler.Config
 	Limits          job.Limits
 	MaxWait         time.Duration
 	ResultRetention time.Duration
@@ -169,7 +170,7 @@
 		agents: map[dispatch.AgentID]*session.Session{}, peers: map[wire.Claimant]*session.Session{},
 		dialers: map[string]dialer{}, waiters: map[tracker.WaiterID]*waiter{}, peerQueries: map[peerQueryID]tracker.WaiterID{},
 		remote: newRemoteQueries(), ownerLookups: map[job.Key]*ownerLookup{}, pendingCancels: map[job.Key]bool{},
-		retryAfter: map[job.Key]time.Duration{}, restartable: newRestartableJobs(config.Identity),
+		retryAfter: map[job.Key]time.Duration{}, restartable: newRestartableJobs(config.Identity, config.OverloadOrder),
 	}
 	e.status.contact.Threshold = isolationThreshold
 	e.sessionCtx, e.stopSessions = context.WithCancel(context.Background())
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -82,6 +82,7 @@
 	responseTime       *prometheus.HistogramVec // by class
 	restartableJobs    *prometheus.CounterVec   // by verdict
 	restartableJobTime prometheus.Histogram     // of completed jobs
+	refusals           *prometheus.CounterVec   // of restartable jobs, by rule
 	descriptions       map[string]*prometheus.Desc
 }
 
@@ -107,6 +108,9 @@
 		restartableJobs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: namespace + "restartable_jobs_total", Help: "Restartable jobs by verdict.",
 		}, []string{"verdict"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: namespace + "restartable_jobs_refused_total", Help: "Restartable jobs with the verdict rejected, by the rule that chose them.",
+		}, []string{"rule"}),
 		restartableJobTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: namespace + "restartable_job_seconds", Help: "Time from the arrival of a restartable job to its completion.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.5, 18),
@@ -117,7 +121,7 @@
 		m.descriptions[v.name] = prometheus.NewDesc(namespace+v.name, v.help, nil, nil)
 	}
 	if e.config.Registerer != nil {
-		e.config.Registerer.MustRegister(m, m.submissions, m.tasks, m.claimTime, m.responseTime, m.restartableJobs, m.restartableJobTime)
+		e.config.Registerer.MustRegister(m, m.submissions, m.tasks, m.claimTime, m.responseTime, m.restartableJobs, m.restartableJobTime, m.refusals)
 	}
 	return m
 }
--- a/internal/process/entry/restartable.go
+++ b/internal/process/entry/restartable.go
@@ -77,9 +77,9 @@
 	unresolvedSent  map[*session.Session]*wire.UnresolvedJobs // the report that each peer has last got
 }
 
-func newRestartableJobs(identity session.Identity) restartableJobs {
+func newRestartableJobs(identity session.Identity, overloadOrder string) restartableJobs {
 	return restartableJobs{
-		scheduler: scheduler.New(scheduler.Config{Seed: identity.Incarnation, AvailabilityZone: identity.AvailabilityZone}),
+		scheduler: scheduler.New(scheduler.Config{Seed: identity.Incarnation, AvailabilityZone: identity.AvailabilityZone, OverloadOrder: overloadOrder}),
 		callers:   map[string][]chan<- scheduler.Decided{}, verdicts: map[string]keptVerdict{},
 		capacities: &wire.Capacities{}, capacitiesSent: map[*session.Session]*wire.Capacities{},
 		unresolvedSent: map[*session.Session]*wire.UnresolvedJobs{},
@@ -236,8 +236,12 @@
 	}
 }
 
-// supportedOrder returns the message, or the plain order for an agent that does not understand wire.TimedOrder.
+// supportedOrder returns the message, or the order without its rank or its predicted run time for an agent that does not
+// understand them.
 func supportedOrder(s *session.Session, message wire.Message) wire.Message {
+	if ranked, ok := message.(*wire.RankedOrder); ok && !s.Supports(wire.FeatureRanks) {
+		message = &ranked.Order
+	}
 	if timed, ok := message.(*wire.TimedOrder); ok && !s.Supports(wire.FeatureSpeeds) {
 		return &timed.Order
 	}
@@ -250,6 +254,9 @@
 		logging.Log(e.config.Logger, logging.JobGivenUp, zap.String("job", d.Job), zap.String("queue", d.Summary.Queue), zap.Int("worker_crashes", d.Summary.Crashes))
 	}
 	e.metrics.restartableJobs.WithLabelValues(d.Verdict.String()).Inc()
+	if d.Verdict == scheduler.Rejected {
+		e.refused(d)
+	}
 	if d.Verdict == scheduler.Completed {
 		e.metrics.restartableJobTime.Observe(d.Summary.Age.Seconds())
 	}
@@ -260,6 +267,15 @@
 	delete(e.restartable.callers, d.Job)
 }
 
+// refused counts and logs by which rule a job was refused.
+func (e *Entry) refused(d scheduler.Decided) {
+	refusal := d.Summary.Refusal
+	e.metrics.refusals.WithLabelValues(refusal.Rule).Inc()
+	logging.Log(e.config.Logger, logging.JobRefused, zap.String("job", d.Job), zap.String("queue", d.Summary.Queue),
+		zap.String("rule", refusal.Rule), zap.Duration("predicted_wait", refusal.Wait), zap.Float64("cost_rate", refusal.CostRate),
+		zap.Duration("retry_after", d.Error.RetryAfter))
+}
+
 // logVerdict logs the verdict on a job with the values that explain it.
 func (e *Entry) logVerdict(d scheduler.Decided) {
 	event := logging.JobCompleted
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -104,6 +104,8 @@
 		"No worker has crashed under tasks of the confined queue for some seconds. Its tasks run on all agents again.")
 	RunsUnresolved = define(1360, zapcore.InfoLevel, "jobs with runs on unreachable hosts",
 		"The field jobs counts the jobs of this entry with a run at an agent that does not respond. Its host may be suspended, so no entry starts these jobs again until the agent is back or is given up; their callers get 504 meanwhile. If the number does not return to zero, find out why the agent is unreachable.")
+	JobRefused = define(1361, zapcore.InfoLevel, "restartable job refused",
+		"No task of the job has started or will. The field rule names the reason: cannot_meet, its predicted start was too late for its objective; displaces, it would have delayed a job that costs callers at least as much; queue_full; overdue, it did not start in time; no_worker, no worker of its service accepts starts; after_wait, its caller no longer waited. The fields predicted_wait and cost_rate are those on arrival, and cost_rate is set with overload_order = cost only. If many are refused for the first four, capacity is too small.")
 	RunUnsuccessful = define(1353, zapcore.InfoLevel, "run ended without success",
 		"A run of a restartable job failed, was lost, stopped or refused; the task is run again unless its job has a verdict.")
 )
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -16,6 +16,7 @@
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/request/dispatch"
+	"pollenpaddle/internal/request/scheduler"
 )
 
 // maxBodyBytes is the upper limit of max_body_bytes. A session frame holds 16 MiB, enough for a task
@@ -74,6 +75,7 @@
 // Entry is the section [entry].
 type Entry struct {
 	Policy          string // placement policy
+	OverloadOrder   string // order of waiting restartable jobs
 	ResultRetention time.Duration
 	ClaimRetention  time.Duration
 	MaxTasks        int
@@ -257,6 +259,7 @@
 func (r *reader) entry(e *Entry) {
 	e.Policy = r.choice("entry", "policy", dispatch.DefaultPolicy, dispatch.PolicyRandom, dispatch.PolicyTwoChoices,
 		dispatch.PolicyBatchSampling, dispatch.PolicyCredits, dispatch.PolicyMix)
+	e.OverloadOrder = r.choice("entry", "overload_order", scheduler.OrderPriority, scheduler.OrderPriority, scheduler.OrderCost)
 	e.ResultRetention = r.duration("entry", "result_retention", 10*time.Minute, time.Second, 24*time.Hour)
 	e.ClaimRetention = r.duration("entry", "claim_retention", 10*time.Minute, time.Minute, 24*time.Hour)
 	e.MaxTasks = int(r.integer("entry", "max_tasks", 110, 1, 110))
