--- a/internal/request/scheduler/order.go
+++ b/internal/request/scheduler/order.go
@@ -72,10 +72,16 @@
 
 // waitingWork returns the predicted processor time of the tasks of a job that wait.
 func (m *Machine) waitingWork(j *jobState) (work time.Duration) {
+	step, each := -1, time.Duration(0) // the tasks are sorted by step
 	for i := range j.tasks {
-		if t := &j.tasks[i]; !t.done && t.agent == nil {
-			work += m.taskWork(t)
+		t := &j.tasks[i]
+		if t.done || t.agent != nil {
+			continue
+		}
+		if t.step != step {
+			step, each = t.step, m.taskWork(t)
 		}
+		work += each
 	}
 	return work
 }
