agent: log and count unanswered calls and connections to the worker

Cause: each unanswered call has a line of its own, but nothing shows when a worker leaves calls unanswered and when that ends, and new connections were counted only outside the installation.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -71,6 +71,7 @@
 	suspensions clock.Suspensions // of the host
 	// workerAnnounced is the newest announcement of the worker, for logging.
 	workerAnnounced       runner.WorkerAnnounced
+	callsUnanswered       *runner.Stats // when calls to the worker began to go unanswered; nil while all are answered
 	sessions              map[startgate.EntryID]*session.Session
 	retiring              map[*session.Session]struct{} // sessions that are to be closed once idle
 	zoneOut               bool                          // the agent's availability zone is out of service
@@ -287,6 +288,7 @@
 		next, due = a.runner.NextWake()
 	}
 	a.workerOpen.Store(a.runner.Open(clock.SinceBoot()))
+	a.logUnanswered(a.runner.CallsUnanswered(clock.SinceBoot()))
 	return next, due
 }
 
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -109,8 +109,9 @@
 }
 
 var (
-	runsWaiting = describe("runs_waiting", "Runs of restartable jobs that wait for room.")
-	runsStarted = describe("runs_under_way", "Runs that are starting, running or stopping.")
+	runsWaiting       = describe("runs_waiting", "Runs of restartable jobs that wait for room.")
+	workerConnections = describe("worker_connections_opened_total", "Connections opened to the worker.")
+	runsStarted       = describe("runs_under_way", "Runs that are starting, running or stopping.")
 )
 
 // runMetrics are the counters of the runs of restartable jobs.
@@ -136,8 +137,12 @@
 	{describe("runs_refused_total", "Runs refused."), func(s *runner.Stats) uint64 { return s.Refused }},
 }
 
+// connectionCounter is implemented by a Worker that counts its connections.
+type connectionCounter interface{ ConnectionsOpened() uint64 }
+
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- workerConnections
 	descriptions <- runsWaiting
 	descriptions <- runsStarted
 	for _, m := range runMetrics {
@@ -165,6 +170,9 @@
 		return
 	}
 	r := <-read
+	if counter, ok := c.agent.config.Worker.(connectionCounter); ok {
+		values <- prometheus.MustNewConstMetric(workerConnections, prometheus.CounterValue, float64(counter.ConnectionsOpened()))
+	}
 	values <- prometheus.MustNewConstMetric(runsWaiting, prometheus.GaugeValue, float64(r.waiting))
 	values <- prometheus.MustNewConstMetric(runsStarted, prometheus.GaugeValue, float64(r.started))
 	for _, m := range runMetrics {
--- a/internal/process/agent/runs.go
+++ b/internal/process/agent/runs.go
@@ -154,3 +154,20 @@
 		a.workerAnnounced = e
 	}
 }
+
+// logUnanswered logs the beginning and the end of a time in which calls to the worker go unanswered.
+func (a *Agent) logUnanswered(unanswered bool) {
+	if unanswered == (a.callsUnanswered != nil) {
+		return
+	}
+	worker, stats := zap.String("worker", a.workerAnnounced.Worker.ID), a.runner.Stats()
+	if unanswered {
+		a.callsUnanswered = &stats
+		logging.Log(a.config.Logger, logging.WorkerCallsUnanswered, worker)
+		return
+	}
+	before := a.callsUnanswered
+	a.callsUnanswered = nil
+	logging.Log(a.config.Logger, logging.WorkerCallsAnswered, worker, zap.Uint64("starts_unanswered", stats.Unanswered-before.Unanswered),
+		zap.Uint64("starts_repeated", stats.StartsRepeated-before.StartsRepeated), zap.Uint64("renewals_failed", stats.RenewalsFailed-before.RenewalsFailed))
+}
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -131,13 +131,17 @@
 	WorkerLeft = define(1411, zapcore.InfoLevel, "worker left",
 		"The worker has announced that it has ended. Nothing runs on it any more.")
 	RunCallFailed = define(1412, zapcore.InfoLevel, "call to worker failed",
-		"A start was refused or got no response, or a renewal of the worker lease failed; the field result gives the cause. After no_answer the agent asks the worker which runs it has; the run counts as lost if it is not among them. After connection_refused the agent accepts no runs until the worker responds or announces itself.")
+		"A start was refused or got no response, or a renewal of the worker lease failed; the field result gives the cause. After no_answer the agent sends the start again, up to three times, and asks the worker which runs it has; the run counts as lost if it is not among them in the end. After connection_refused the agent accepts no runs until the worker responds or announces itself.")
 	RunStopRequested = define(1413, zapcore.InfoLevel, "run stop requested",
 		"The agent has asked the worker to stop a run, because its owner cancelled it or was not heard from, or because no entry ordered it.")
 	WorkerCrashSuspected = define(1414, zapcore.WarnLevel, "crash of worker suspected",
 		"The worker has stopped accepting connections while it executed runs. The field runs lists those of the entry that may have caused it, because they had started just before; there is one line for each entry with such runs. If runs of one job recur in these lines, cancel the job and report it to its caller; otherwise look into the log of the worker.")
 	HostSuspended = define(1415, zapcore.WarnLevel, "host was suspended",
 		"The host of the agent and its worker stood still for the field duration, by the difference between the boot-time clock and the steady clock. Entries may have counted the agent as absent; runs continue or are stopped. If it recurs, ask the provider of the VM why it is suspended.")
+	WorkerCallsUnanswered = define(1420, zapcore.InfoLevel, "calls to worker unanswered",
+		"A call to the worker was not answered in time; each is logged as event 1412. The agent repeats starts and requests reports more often until event 1421. If it recurs for one worker, look into its log and the load of its host; if for many, look at the processor time of the agents.")
+	WorkerCallsAnswered = define(1421, zapcore.InfoLevel, "calls to worker answered again",
+		"No call to the worker went unanswered for two seconds. The fields starts_unanswered, starts_repeated and renewals_failed count the calls since event 1420.")
 	WorkerPlatformFailed = define(1409, zapcore.ErrorLevel, "operation of the worker host failed",
 		"The field operation names it. A task whose resources could not be reserved (operation lease) is refused and placed elsewhere.")
 )
--- a/internal/request/runner/stats.go
+++ b/internal/request/runner/stats.go
@@ -81,6 +81,9 @@
 // Open reports whether new runs are accepted.
 func (m *Machine) Open(now time.Duration) bool { return m.acceptsStarts(now) }
 
+// CallsUnanswered reports whether a call to the worker went unanswered recently, so that starts are repeated.
+func (m *Machine) CallsUnanswered(now time.Duration) bool { return now < m.worker.lossyUntil }
+
 // Dump returns the current state for the state dump.
 func (m *Machine) Dump(now time.Duration) Dump {
 	w := &m.worker
