--- a/tools/importcheck/main.go
+++ b/tools/importcheck/main.go
@@ -30,6 +30,7 @@
 	"internal/version/catalog",
 	"internal/version/lease",
 	"internal/version/replication",
+	"internal/connection/budget",
 	"internal/connection/subset",
 	"internal/connection/wire",
 }
