httpapi: limits on the connections and bytes of HTTP clients

Cause: fasthttp reads a body of any announced size into memory before the handler runs, keeps the buffer with its connection, and ends the server when a connection cannot be accepted for lack of descriptors. It writes what clients sent to standard error. What a JSON body takes when it is decoded is granted too. Log events 1050 to 1053 are rate-limited and contain nothing that a client sent.

--- a/internal/connection/budget/budget.go
+++ b/internal/connection/budget/budget.go
@@ -35,8 +35,10 @@
 	// heldShare divides the bytes: a listener that holds more than this part in responses that are not read yet carries out
 	// no further requests of the class Callers.
 	heldShare = 2
-	// maxWriteTime is how long a client may take to read a response before its connection is closed for a new one.
-	maxWriteTime = 10 * time.Second
+	// maxWriteTime is how long the response to a client may be unread before its connection is closed for a new one, if there
+	// is no other to close. A response that fits into the buffers of the kernel is written at once, so only clients that leave
+	// some hundred kilobytes unread are concerned. With 10 s, such clients kept readiness checks from being answered for as long.
+	maxWriteTime = time.Second
 )
 
 // Listener holds the limits of one listener.
--- a/internal/process/httpapi/httpapi.go
+++ b/internal/process/httpapi/httpapi.go
@@ -94,8 +94,12 @@
 	ctx.SetBody(append(encoded, '\n'))
 }
 
-// ReadJSON decodes the request body into target and rejects unknown fields.
+// ReadJSON decodes the request body into target, rejects unknown fields and releases the body.
 func ReadJSON(ctx *fasthttp.RequestCtx, target any) error {
+	if err := ReserveDecoding(ctx); err != nil {
+		return err
+	}
+	defer ReleaseBody(ctx)
 	decoder := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -24,6 +24,19 @@
 		"The changed file has an error; the process keeps its current settings. Correct the file.")
 )
 
+// Events of the limits on HTTP clients: 1050 to 1059. Each is logged at most once in 10 s for a listener and a cause, with
+// the count of its occurrences since then, and contains nothing that a client sent.
+var (
+	RequestsRefused = define(1050, zapcore.WarnLevel, "requests refused by a limit",
+		"Clients of the listener exceed a limit: the field cause is too_large (body or headers), slow (body below the minimum rate), timeout (headers or first bytes), or unavailable (connections or bytes in use). Nothing of these requests was run. Find the clients; raise the limit (docs/settings.md) if they are legitimate.")
+	ConnectionsClosed = define(1051, zapcore.WarnLevel, "connections closed by a limit",
+		"The listener has its maximum of connections. The field cause is replaced (the oldest connection without a complete request, or the oldest idle one, was closed for a new one), connections (the new one was closed, because all others are in use) or address (one address has its maximum).")
+	AcceptFailed = define(1052, zapcore.ErrorLevel, "cannot accept a connection",
+		"The process or the machine has no free descriptors or no memory for a connection. The process closes an unused connection and tries again. Raise the limit on descriptors, or lower max_connections.")
+	ClientConnectionFailed = define(1053, zapcore.InfoLevel, "connection of a client failed",
+		"The HTTP library reports a connection that ended by an error; the field cause is its message without what the client sent.")
+)
+
 // Events of an agent's sessions with entries: 1100 to 1199.
 var (
 	SessionOpened = define(1101, zapcore.InfoLevel, "session opened",
