daemon, platform: limits on HTTP clients at every listener

Change: listen and the adapter's listeners are served by httpapi.Guard. The limits are derived from the descriptors and the memory of the machine, or set by memory_limit, request_bytes, max_connections, max_connections_per_address, header_timeout and callers_idle_timeout. An idle connection of a caller is kept for 10 min instead of 1 min. The dump has the state of the limits.

--- a/internal/process/daemon/assemble.go
+++ b/internal/process/daemon/assemble.go
@@ -19,6 +19,7 @@
 	"pollenpaddle/internal/process/auth"
 	"pollenpaddle/internal/process/control"
 	"pollenpaddle/internal/process/entry"
+	"pollenpaddle/internal/process/httpapi"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/process/settings"
 	"pollenpaddle/internal/request/runner"
@@ -60,6 +61,12 @@
 	d.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "pollenpaddle_log_lines_dropped_total", Help: "Log lines dropped because standard output was not read.",
 	}, func() float64 { return float64(dropped()) }))
+	if d.Limits, err = deriveLimits(s, descriptorLimit(), reportedMemory()); err != nil {
+		return nil, err
+	}
+	if d.Guard, err = httpapi.NewGuard(d.Limits.Bytes, logger, d.Registry); err != nil {
+		return nil, err
+	}
 	if err := d.addRoles(s, options, key, tokens, newIncarnation()); err != nil {
 		return nil, err
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pollenpaddle/internal/clock"
+	"pollenpaddle/internal/connection/budget"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/process/admin"
@@ -40,17 +41,15 @@
 	// LoopbackOnly is true if callers or processes are not authenticated and the network is not
 	// trusted; Listen is then a loopback address.
 	LoopbackOnly bool
+	// Limits and Guard limit the HTTP clients of all listeners of the process.
+	Limits Limits
+	Guard  *httpapi.Guard
 }
 
 const (
-	// requestTimeout limits the time to read a request, so that a client that stalls in the middle of
-	// a body cannot block a shutdown.
-	requestTimeout = time.Minute
 	// responseTimeout limits the time to write a response. It is far longer than a slow client needs;
 	// a client that takes longer is treated as lost.
 	responseTimeout = 10 * time.Minute
-	// maxHeaderBytes limits the headers of a request.
-	maxHeaderBytes = 16 << 10
 	// idleTimeout closes a keep-alive connection without requests.
 	idleTimeout = time.Minute
 )
@@ -63,10 +62,13 @@
 	if err != nil {
 		return failure.New(failure.Unavailable, "choose another address in listen or stop the process that uses it", "cannot listen on %s: %v", d.Listen, err)
 	}
-	server := &fasthttp.Server{
-		Name: "pollenpaddle", Handler: httpapi.RecoverFaults(d.handler(), logging.LogFaults(d.Logger)), MaxRequestBodySize: d.MaxBodyBytes,
-		ReadBufferSize: maxHeaderBytes, ReadTimeout: requestTimeout, WriteTimeout: responseTimeout, IdleTimeout: idleTimeout,
-		CloseOnShutdown: true, NoDefaultServerHeader: true, ErrorHandler: d.rejectRequest,
+	server, err := d.Guard.NewServer(httpapi.ServerConfig{
+		Name: "listen", ServerName: "pollenpaddle", Limits: d.Limits.Own, BodyBytes: d.MaxBodyBytes,
+		HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
+		Handler: httpapi.RecoverFaults(d.handler(), logging.LogFaults(d.Logger)), Class: classOf, WriteError: httpapi.WriteError,
+	})
+	if err != nil {
+		return err
 	}
 	roleCtx, stopRoles := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRoles()
@@ -177,20 +179,14 @@
 	return backend
 }
 
-// rejectRequest responds to a request that the HTTP server could not read. The text of err is not
-// returned because it repeats the headers, which may contain a token.
-func (d *Daemon) rejectRequest(ctx *fasthttp.RequestCtx, err error) {
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		httpapi.WriteError(ctx, failure.New(failure.TooLarge, "send a smaller body or raise max_body_bytes in the section [entry]", "the request body exceeds the limit of %d bytes; nothing was run", d.MaxBodyBytes))
-		return
-	}
-	var headers *fasthttp.ErrSmallBuffer
-	if errors.As(err, &headers) {
-		httpapi.WriteError(ctx, failure.New(failure.TooLarge, "send fewer or shorter headers", "the request headers exceed the limit of %d bytes; nothing was run", maxHeaderBytes))
-		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
-		return
-	}
-	httpapi.WriteError(ctx, failure.New(failure.InvalidArgument, "send a complete HTTP/1.1 request", "the request is incomplete or not valid HTTP/1.1; nothing was run"))
+// classOf returns the class of a request at the address listen. Callers submit jobs and requests there; all others are
+// operators, other processes, and monitoring.
+func classOf(ctx *fasthttp.RequestCtx) budget.Class {
+	path := ctx.Path()
+	if bytes.HasPrefix(path, []byte("/v1/jobs")) || bytes.HasPrefix(path, []byte("/v1/requests")) {
+		return budget.Callers
+	}
+	return budget.Reserved
 }
 
 func (d *Daemon) ready(ctx *fasthttp.RequestCtx) {
@@ -213,7 +209,7 @@
 		httpapi.WriteError(ctx, err)
 		return
 	}
-	state := map[string]any{"id": d.ID}
+	state := map[string]any{"id": d.ID, "limits": d.Guard.Dump()}
 	for _, name := range d.DrainOrder {
 		state[name] = d.Roles[name].Dump()
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -50,6 +50,16 @@
 	Bootstrap      bool
 	TrustedNetwork bool // the network gives access only to processes and callers of the installation
 	LogLevel       string
+	Limits         Limits
+}
+
+// Limits are the limits on HTTP clients, in the section [process]. For a zero the daemon derives the value.
+type Limits struct {
+	MemoryBytes           int64         // memory that the process may use
+	RequestBytes          int           // bodies of requests and large responses that are held at the same time
+	Connections           int           // connections of callers
+	ConnectionsPerAddress int           // connections of one client address at one listener; 0: no limit of its own
+	HeaderTimeout         time.Duration // for the headers of a request
 }
 
 // ControlMember is one control member in the key control_members, written NAME@HOST:PORT. The name is
@@ -107,10 +117,14 @@
 	Readiness string // readiness of an entry
 	Operators string // configuration, at a control member
 	Workers   string // announcements of the worker of an agent
+	// CallersIdleTimeout is how long a connection of a caller is kept open between two requests.
+	CallersIdleTimeout time.Duration
 }
 
 // Enabled reports whether any address is set.
-func (a *Adapter) Enabled() bool { return *a != Adapter{} }
+func (a *Adapter) Enabled() bool {
+	return a.Callers != "" || a.Readiness != "" || a.Operators != "" || a.Workers != ""
+}
 
 // AutomaticMembership reports whether the members of the group change without operator commands.
 func (p *Process) AutomaticMembership() bool { return len(p.ControlSeeds) > 0 }
@@ -187,6 +201,7 @@
 	p.Bootstrap = r.choice("process", "bootstrap", "true", "true", "false") == "true"
 	p.TrustedNetwork = r.choice("process", "network", "authenticated", "authenticated", "trusted") == "trusted"
 	p.LogLevel = r.choice("process", "log_level", "info", "debug", "info", "warn", "error")
+	r.limits(&p.Limits)
 	r.entry(&s.Entry)
 	r.agent(&s.Agent)
 	s.Control.EntryTimeout = r.duration("control", "entry_timeout", 10*time.Second, 5*time.Second, time.Hour)
@@ -196,12 +211,32 @@
 	s.Adapter.Readiness = r.address("adapter", "readiness", "")
 	s.Adapter.Operators = r.address("adapter", "operators", "")
 	s.Adapter.Workers = r.address("adapter", "workers", "")
+	s.Adapter.CallersIdleTimeout = r.duration("adapter", "callers_idle_timeout", 10*time.Minute, time.Second, 24*time.Hour)
 	if s.HasRole(wire.RoleControl) && p.DataFolder == "" {
 		r.problem("process", "data_folder", "", "set a folder on a local disk; the control role keeps its log there")
 	}
 	return s
 }
 
+// limits reads the limits on HTTP clients. The lower bounds of the sizes are the least with which a process serves; 0 is the
+// default of a derived value.
+func (r *reader) limits(l *Limits) {
+	l.MemoryBytes = r.derivable("memory_limit", 64<<20, 1<<50)
+	l.RequestBytes = int(r.derivable("request_bytes", 1<<20, 1<<40))
+	l.Connections = int(r.derivable("max_connections", 16, 1<<20))
+	l.ConnectionsPerAddress = int(r.integer("process", "max_connections_per_address", 0, 0, 1<<20))
+	l.HeaderTimeout = r.duration("process", "header_timeout", 10*time.Second, time.Second, time.Hour)
+}
+
+// derivable reads an integer of the section [process] that is 0 by default and otherwise has a range.
+func (r *reader) derivable(key string, low, high int64) int64 {
+	n := r.integer("process", key, 0, 0, high)
+	if n != 0 && n < low {
+		r.problem("process", key, strconv.FormatInt(n, 10), fmt.Sprintf("use 0 or a whole number from %d to %d", low, high))
+	}
+	return n
+}
+
 // seeds reads control_seeds. If control_port is set, it replaces the ports in the list, which may be
 // those of another service on the same hosts.
 func (r *reader) seeds(p *Process) {
