daemon: limit requests for metrics that are collected at the same time

Cause: 60 clients that send requests for metrics and read no response raised the resident memory of a control member to 93 MB, near the bound of 100 MB: each collection takes memory of its own before its response counts. Change: four collections at a time; further requests get 503.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -50,6 +50,9 @@
 	// responseTimeout limits the time to write a response. It is far longer than a slow client needs;
 	// a client that takes longer is treated as lost.
 	responseTimeout = 10 * time.Minute
+	// maxMetricsRequests limits the requests for metrics that are collected at the same time. 60 clients that read no response
+	// raised the memory of a control member to 93 MB without the limit.
+	maxMetricsRequests = 4
 	// idleTimeout closes a keep-alive connection without requests.
 	idleTimeout = time.Minute
 )
@@ -156,7 +159,7 @@
 	}
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", d.ready)
-	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{})))
+	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests})))
 	r.GET("/v1/dump", d.dump)
 	for _, name := range d.DrainOrder {
 		d.Roles[name].Routes(r)
