--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -37,6 +37,7 @@
 	failure.NeverFits:        ExitNotRun,
 	failure.Unavailable:      ExitNotRun,
 	failure.MayHaveRun:       ExitMayHaveRun,
+	failure.Cancelled:        ExitMayHaveRun,
 	failure.UpstreamFailed:   ExitMayHaveRun,
 	failure.Unauthenticated:  ExitPermission,
 	failure.PermissionDenied: ExitPermission,
--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -69,6 +69,9 @@
 	FeatureCrashes Feature = 1 << 2
 	// FeatureUnresolved means that the sender, an entry, understands UnresolvedJobs.
 	FeatureUnresolved Feature = 1 << 3
+	// FeatureCancellations means that the sender, an entry, understands the messages of cancellation.go, or, an agent,
+	// JobCancellation and CancellationRecords.
+	FeatureCancellations Feature = 1 << 8
 )
 
 // Closing reports that the sender is draining and accepts no new work. It does not close the
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -41,6 +41,9 @@
 	UpstreamFailed Kind = "upstream_failed"
 	// MayHaveRun reports work that may or may not have started.
 	MayHaveRun Kind = "may_have_run"
+	// Cancelled reports a job that was cancelled: it is not started, or no longer continued, and must not be submitted
+	// again.
+	Cancelled Kind = "cancelled"
 	// TooLarge reports a request, message or response, or a part of one, that exceeds a limit.
 	TooLarge Kind = "too_large"
 	// Internal reports an unexpected fault, such as a bug or a damaged or failing disk. It is also the
--- a/internal/model/run/run.go
+++ b/internal/model/run/run.go
@@ -98,11 +98,13 @@
 	NotInInventory
 	// AgentAbsent: the agent had no session with the owner for longer than a run can continue.
 	AgentAbsent
+	// Cancelled: the agent was told that the job is cancelled.
+	Cancelled
 )
 
 var reasonNames = [...]string{
 	"", "busy", "closed", "outdated", "unhealthy", "unfit", "conflict",
-	"worker_replaced", "worker_left", "lease_expired", "not_reported", "ended_by_worker", "not_in_inventory", "agent_absent",
+	"worker_replaced", "worker_left", "lease_expired", "not_reported", "ended_by_worker", "not_in_inventory", "agent_absent", "cancelled",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/process/httpapi/httpapi.go
+++ b/internal/process/httpapi/httpapi.go
@@ -34,6 +34,7 @@
 	failure.Unavailable:      fasthttp.StatusServiceUnavailable,
 	failure.UpstreamFailed:   fasthttp.StatusBadGateway,
 	failure.MayHaveRun:       fasthttp.StatusConflict,
+	failure.Cancelled:        fasthttp.StatusGone,
 	failure.TooLarge:         fasthttp.StatusRequestEntityTooLarge,
 	failure.Internal:         fasthttp.StatusInternalServerError,
 }
--- a/internal/request/expiry/expiry.go
+++ b/internal/request/expiry/expiry.go
@@ -1,6 +1,12 @@
 // Package expiry provides a map whose records can be removed in the order of their time.
 package expiry
 
+import (
+	"iter"
+	"maps"
+	"slices"
+)
+
 // bucketMillis is the width of a time bucket. Records are removed one bucket at a time, so a record
 // may be kept up to this much longer than requested, but never shorter.
 const bucketMillis = 1000
@@ -116,6 +122,19 @@
 	return oldest * bucketMillis, found
 }
 
+// All returns the keys and times of all records, in the order of their buckets.
+func (m *Map[K, V]) All() iter.Seq2[K, int64] {
+	return func(yield func(K, int64) bool) {
+		for _, bucket := range slices.Sorted(maps.Keys(m.buckets)) {
+			for _, key := range m.buckets[bucket] {
+				if !yield(key, m.records[key].at) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (m *Map[K, V]) dropBucket(bucket int64) {
 	for _, key := range m.buckets[bucket] {
 		delete(m.records, key)
