runner: stop and refuse the runs of a job whose cancellation an entry reports

Cause: an agent stops a run only at the request of its owner, or 900 ms after it has last heard from it. An owner that is cut off from the entry that cancels a job, but not from the agent, continues the job.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -195,7 +195,7 @@
 	case sessionOpened:
 		logging.Log(a.config.Logger, logging.SessionOpened, zap.String("entry", e.session.Peer().ID), zap.String("address", e.session.DialedAddress()))
 		a.sessions[entryOf(e.session)] = e.session
-		e.session.Send(&wire.Pong{Features: wire.FeatureSpeeds})
+		e.session.Send(&wire.Pong{Features: wire.FeatureSpeeds | wire.FeatureCancellations})
 		a.stepStartGate(startgate.Connected{Entry: entryOf(e.session)})
 		a.stepRunner(runner.Connected{Entry: runner.EntryID(entryOf(e.session))})
 		if a.dialers.isSuperseded(e.session) {
@@ -236,7 +236,7 @@
 // handleMessage passes a message from an entry to the state machine that handles its type.
 func (a *Agent) handleMessage(from startgate.EntryID, message wire.Message) {
 	switch message.(type) {
-	case *wire.RunOrder, *wire.TimedOrder, *wire.RunCancel, *wire.OwnerGrant:
+	case *wire.RunOrder, *wire.TimedOrder, *wire.RunCancel, *wire.OwnerGrant, *wire.JobCancellation, *wire.CancellationRecords:
 		a.stepRunner(runner.Received{Entry: runner.EntryID(from), Message: message})
 	default:
 		a.stepStartGate(startgate.Received{Entry: from, Message: message})
--- a/internal/request/runner/machine.go
+++ b/internal/request/runner/machine.go
@@ -17,6 +17,7 @@
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/model/job"
 	"pollenpaddle/internal/model/run"
+	"pollenpaddle/internal/request/cancellation"
 )
 
 // Config holds the settings of a machine. A zero duration takes its default.
@@ -146,6 +147,7 @@
 	ownerList     []*owner // in order of connection, for deterministic output
 	demand        demand
 	records       map[run.ID]*record
+	cancellations *cancellation.Records  // that an entry has told
 	startedByTask map[run.TaskID]*record // records that are not waiting
 	queue         []*record              // waiting records, in the order in which they are started
 	arrival       uint64
@@ -162,7 +164,8 @@
 	}
 	return &Machine{
 		config: config, owners: map[EntryID]*owner{}, records: map[run.ID]*record{}, startedByTask: map[run.TaskID]*record{},
-		worker: workerState{token: max(1, config.Token)}, pendingLeases: map[leaseCall]pendingLease{},
+		cancellations: cancellation.NewRecords(cancellation.AgentLimit),
+		worker:        workerState{token: max(1, config.Token)}, pendingLeases: map[leaseCall]pendingLease{},
 	}
 }
 
--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -164,6 +164,10 @@
 				m.cancel(now, r)
 			}
 		}
+	case *wire.JobCancellation:
+		m.cancelJob(now, message.Job)
+	case *wire.CancellationRecords:
+		m.cancelJobs(now, message)
 	case *wire.OwnerGrant:
 		if message.Sent <= now {
 			o.confirm(message.Sent)
@@ -202,6 +206,8 @@
 func (m *Machine) refusalReason(now time.Duration, o *owner, id run.ID, order *wire.RunOrder) run.Reason {
 	earlier := m.startedByTask[id.Task]
 	switch {
+	case m.isCancelled(now, id.Task.Job):
+		return run.Cancelled
 	case !m.acceptsStarts(now) || order.Service != m.worker.service:
 		return run.Closed
 	// An order that waited in the connection while this process was paused: the entry may count its runs as lost.
