scheduler: a final verdict on jobs that are cancelled on request

Cause: a cancellation on request and the end of the last caller were the same event, whose verdict asks to resubmit the job (504). A resubmission that waited for the last run of a cancelled job was dropped without an answer.

Change: the verdict Revoked, with an error of the kind "cancelled", for requests; abandoned jobs expire as before. JobsHeld and JobsReleased hold the open jobs while the entry asks whether they were cancelled, and give them up if it gets no answer.

Result: "a job that is cancelled on request" passes, and its second spec fails if the hold is left out.

--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -86,8 +86,18 @@
 // verdict and an active run, the new one is submitted when the last run of the old one is over.
 type Submitted struct{ Submission *Submission }
 
-// Cancelled reports that the job was cancelled, or that its last caller has disconnected.
-type Cancelled struct{ Job string }
+// Cancelled reports that the job was cancelled on request, or else that its last caller has disconnected.
+type Cancelled struct {
+	Job       string
+	Requested bool
+}
+
+// JobsHeld asks to order no runs of the jobs that were submitted up to now until JobsReleased: the entry was out of touch,
+// and the jobs may have been cancelled elsewhere.
+type JobsHeld struct{}
+
+// JobsReleased ends JobsHeld. With Drop, the held jobs get a verdict instead: it is not known whether they were cancelled.
+type JobsReleased struct{ Drop bool }
 
 // Tick triggers time-based actions. It is due at the time returned by Machine.NextWake.
 type Tick struct{}
@@ -102,6 +112,8 @@
 func (ZonesChanged) schedulerEvent()      {}
 func (Submitted) schedulerEvent()         {}
 func (Cancelled) schedulerEvent()         {}
+func (JobsHeld) schedulerEvent()          {}
+func (JobsReleased) schedulerEvent()      {}
 func (Tick) schedulerEvent()              {}
 
 // Action is an output of the machine, to be executed by the caller of Machine.Step.
@@ -125,12 +137,14 @@
 	Failed
 	// Rejected means that no task has started and none ever will; Decided.Error gives the reason.
 	Rejected
-	// Expired means that the job was cancelled or reached its deadline; some of its tasks may have run. It
+	// Expired means that the job was abandoned by its callers or reached its deadline; some of its tasks may have run. It
 	// may be resubmitted.
 	Expired
+	// Revoked means that the job was cancelled on request; some of its tasks may have run. It must not be resubmitted.
+	Revoked
 )
 
-var verdictNames = [...]string{"none", "completed", "failed", "rejected", "expired"}
+var verdictNames = [...]string{"none", "completed", "failed", "rejected", "expired", "cancelled"}
 
 // String returns the name used in logs and metrics.
 func (v Verdict) String() string {
@@ -144,7 +158,7 @@
 type Decided struct {
 	Job     string
 	Verdict Verdict
-	Error   *failure.Error // with Rejected and Expired
+	Error   *failure.Error // with Rejected, Expired and Revoked
 	Summary JobSummary
 }
 
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -279,13 +279,20 @@
 	}
 }
 
-// cancel gives a job the verdict Expired. If the job already has a verdict, its resubmission is dropped.
-func (m *Machine) cancel(now time.Duration, id string) {
-	j := m.jobs[id]
+// cancel gives a job the verdict Expired, or Revoked if that was requested. If the job already has a verdict, its
+// resubmission is dropped.
+func (m *Machine) cancel(now time.Duration, e Cancelled) {
+	j := m.jobs[e.Job]
 	switch {
 	case j == nil:
 	case j.hasVerdict:
+		if e.Requested && j.resubmission != nil {
+			m.stats.count(Revoked)
+			m.emit(RevokedOnSubmission(j.resubmission))
+		}
 		j.resubmission = nil
+	case e.Requested:
+		m.setVerdict(now, j, Revoked, errRevoked())
 	default:
 		m.setVerdict(now, j, Expired, failure.New(failure.MayHaveRun, "resubmit the job if its result is still needed", "the job was cancelled"))
 	}
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -66,6 +66,9 @@
 	// After a pause of this process, the jobs up to heldArrival get no runs until heldUntil.
 	heldArrival uint64
 	heldUntil   time.Duration
+	// While holding, the jobs up to holdArrival get no runs.
+	holding     bool
+	holdArrival uint64
 	// nextReportAt is when eligibility changes may be reported next.
 	nextReportAt time.Duration
 
@@ -119,7 +122,11 @@
 	case Submitted:
 		m.submit(now, e.Submission)
 	case Cancelled:
-		m.cancel(now, e.Job)
+		m.cancel(now, e)
+	case JobsHeld:
+		m.holding, m.holdArrival = true, m.arrival
+	case JobsReleased:
+		m.release(now, e.Drop)
 	}
 	m.updateConfinement(now)
 	m.updatePools()
@@ -138,10 +145,10 @@
 	}
 }
 
-// held reports whether the job gets no runs because its caller may have resubmitted it during a pause, or because an
-// earlier run may be in progress.
+// held reports whether the job gets no runs because its caller may have resubmitted it during a pause, because it may have
+// been cancelled while this entry was out of touch, or because an earlier run may be in progress.
 func (m *Machine) held(now time.Duration, j *jobState) bool {
-	return j.arrival <= m.heldArrival && now < m.heldUntil || m.unresolvedElsewhere(now, j.submission.ID)
+	return j.arrival <= m.heldArrival && now < m.heldUntil || m.holding && j.arrival <= m.holdArrival || m.unresolvedElsewhere(now, j.submission.ID)
 }
 
 func (m *Machine) emit(action Action) { m.actions = append(m.actions, action) }
--- a/internal/request/scheduler/stats.go
+++ b/internal/request/scheduler/stats.go
@@ -12,6 +12,7 @@
 	Failed     uint64
 	Rejected   uint64
 	Expired    uint64
+	Revoked    uint64
 	Orders     uint64 // ordered runs
 	RunsFailed uint64
 	Lost       uint64 // runs with the outcome run.Lost or run.Stopped
@@ -36,6 +37,8 @@
 		s.Rejected++
 	case Expired:
 		s.Expired++
+	case Revoked:
+		s.Revoked++
 	}
 }
 
