entry: acknowledge a cancellation once it holds, and answer copies with 410

Cause: DELETE was answered with 200 whatever the other entries knew, an entry that woke up continued jobs and read submissions that had been cancelled meanwhile, and the POST of a cancelled job got 504, after which callers submit it again.

Change: the entry runs the state machine of request/cancellation. DELETE waits for a majority of the entries, otherwise 503 with Retry-After. After a second without contact, or a start, jobs and submissions wait until the others have answered. The POST of a cancelled job gets 410, now and later. Log events 1370 to 1374, metrics.

--- a/internal/process/entry/events.go
+++ b/internal/process/entry/events.go
@@ -82,6 +82,8 @@
 		e.submitRestartable(event)
 	case restartableAbandoned:
 		e.abandonRestartable(event)
+	case cancelRequested:
+		e.requestCancel(event)
 	case restartableQueried:
 		e.reportRestartableState(event)
 	case lastRequestEnded:
@@ -105,6 +107,7 @@
 	next := time.Duration(-1)
 	for _, source := range []func() (time.Duration, bool){
 		e.dispatcher.NextWake, e.claimant.NextWake, e.tracker.NextWake, e.nextQueryExpiry, e.restartable.scheduler.NextWake,
+		e.nextCancellationWake,
 	} {
 		if due, ok := source(); ok {
 			if delay := max(0, due-at.Boot); next < 0 || delay < next {
@@ -130,6 +133,7 @@
 	e.stepClaims(claim.Configured{Configuration: configuration})
 	e.step(dispatch.Configured{State: state})
 	e.stepScheduler(scheduler.ZonesChanged{OutOfService: state.ZonesOut()})
+	e.configureCancellations(state)
 	e.updateDialers(state.Entries)
 	e.status.configured.Store(true)
 }
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"pollenpaddle/internal/clock"
+	"pollenpaddle/internal/request/cancellation"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
 	"pollenpaddle/internal/request/scheduler"
@@ -27,6 +28,9 @@
 	Entries       []string // entries with an open session
 	Dispatch      dispatch.Dump
 	Restartable   scheduler.Dump
+	Cancellations cancellation.Stats
+	// CancelledSubmissions counts the submissions that were answered as cancelled.
+	CancelledSubmissions uint64
 }
 
 func (e *Entry) snapshot() *Snapshot {
@@ -34,7 +38,8 @@
 		QueuedEvents: e.loop.Len(), Draining: e.status.draining.Load(), Jobs: e.tracker.Stats(), Waiters: len(e.waiters),
 		PendingClaims: e.claimant.Pending(), RemoteQueries: len(e.remote.byID), LookUps: len(e.ownerLookups),
 		Registrar: e.registrar.Stats(), Dispatch: e.dispatcher.Dump(),
-		Restartable: e.restartable.scheduler.Dump(clock.SinceBoot()),
+		Restartable:   e.restartable.scheduler.Dump(clock.SinceBoot()),
+		Cancellations: e.restartable.cancellations.machine.Stats(), CancelledSubmissions: e.restartable.cancellations.answered,
 	}
 	if e.catalog != nil {
 		s.Revision = e.catalog.Revision
@@ -155,6 +160,12 @@
 	{"jobs_given_up_total", "Restartable jobs that were given up because workers crashed under one of their tasks.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Restartable.Stats.GivenUp) }},
 	{"confinements_total", "Times that a queue was confined to some agents because its tasks crash workers.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Restartable.Stats.Confinements) }},
 	{"queues_confined", "Queues that are confined to some agents.", prometheus.GaugeValue, func(s *Snapshot) float64 { return float64(len(s.Restartable.ConfinedQueues)) }},
+	{"cancellations", "Cancellations of restartable jobs that are kept.", prometheus.GaugeValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Kept) }},
+	{"cancellations_acknowledged_total", "Requests to cancel a restartable job that were acknowledged.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Acknowledged) }},
+	{"cancellations_unconfirmed_total", "Acknowledged cancellations that some listed entry had not confirmed, so agents were told.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Unconfirmed) }},
+	{"cancellations_refused_total", "Requests to cancel a restartable job that were not acknowledged.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Refused) }},
+	{"cancelled_submissions_total", "Submissions of restartable jobs that were answered as cancelled.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.CancelledSubmissions) }},
+	{"cancellation_questions_total", "Times that the entry asked the others for cancellations, after a start or a gap.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Questions) }},
 	{"entries", "Entries with an open session.", prometheus.GaugeValue, func(s *Snapshot) float64 { return float64(len(s.Entries)) }},
 }
 
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -12,6 +12,7 @@
 	"pollenpaddle/internal/connection/session"
 	"pollenpaddle/internal/connection/wire"
 	"pollenpaddle/internal/process/logging"
+	"pollenpaddle/internal/request/cancellation"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
 	"pollenpaddle/internal/request/scheduler"
@@ -47,18 +48,21 @@
 	switch s.Peer().Role {
 	case wire.RoleAgent:
 		e.agents[agentOf(s)] = s
-		s.Send(&wire.Pong{Features: wire.FeatureSpeeds | wire.FeatureCrashes})
+		s.Send(&wire.Pong{Features: wire.FeatureSpeeds | wire.FeatureCrashes | wire.FeatureCancellations})
+		e.restartable.cancellations.unannounced[s] = struct{}{}
 		e.step(dispatch.AgentConnected{Agent: agentOf(s), AvailabilityZone: s.Peer().AvailabilityZone})
 		e.stepScheduler(scheduler.AgentConnected{Agent: scheduler.AgentID(agentOf(s)), AvailabilityZone: s.Peer().AvailabilityZone})
 	case wire.RoleEntry:
 		logging.Log(e.config.Logger, logging.EntryPeerConnected, zap.String("entry", s.Peer().ID), zap.Uint64("incarnation", s.Peer().Incarnation))
 		e.peers[peerOf(s)] = s
-		s.Send(&wire.Pong{Features: wire.FeatureCapacities | wire.FeatureCrashes | wire.FeatureUnresolved})
+		s.Send(&wire.Pong{Features: wire.FeatureCapacities | wire.FeatureCrashes | wire.FeatureUnresolved | wire.FeatureCancellations})
+		e.restartable.cancellations.unannounced[s] = struct{}{}
 		e.peerConnected(peerOf(s))
 	}
 }
 
 func (e *Entry) sessionClosed(s *session.Session, err error) {
+	delete(e.restartable.cancellations.unannounced, s)
 	switch s.Peer().Role {
 	case wire.RoleAgent:
 		if e.agents[agentOf(s)] == s {
@@ -73,13 +77,18 @@
 			logging.Log(e.config.Logger, logging.EntryPeerLost, zap.String("entry", s.Peer().ID), zap.Error(err))
 			delete(e.peers, peerOf(s))
 			e.stepScheduler(scheduler.PeerDisconnected{Entry: peerOf(s)})
+			e.stepCancellations(cancellation.PeerDisconnected{Entry: peerOf(s)})
 			e.peerDisconnected(peerOf(s))
 		}
 	}
 }
 
 func (e *Entry) receive(s *session.Session, messages []wire.Message) {
+	e.contacted(clock.SinceBoot())
 	e.status.contact.Observe(clock.SinceBoot())
+	if len(e.restartable.cancellations.unannounced) > 0 {
+		e.introduceSessions() // an announcement precedes all other messages
+	}
 	if s.Peer().Role == wire.RoleAgent {
 		for _, message := range messages {
 			if !e.receiveRunMessage(scheduler.AgentID(agentOf(s)), message) {
@@ -93,6 +102,9 @@
 	}
 	from := peerOf(s)
 	for _, message := range messages {
+		if e.receiveCancellation(from, message) {
+			continue
+		}
 		switch m := message.(type) {
 		case *wire.Claim:
 			s.Send(e.registrar.Claim(e.config.Now(), from, m))
@@ -108,8 +120,6 @@
 			e.serveQuery(from, m)
 		case *wire.JobReply:
 			e.queryReplied(from, m)
-		case *wire.JobCancel:
-			e.stepScheduler(scheduler.Cancelled{Job: m.Job})
 		case *wire.Capacities:
 			e.stepScheduler(scheduler.PeerCapacities{Entry: from, Report: m})
 		case *wire.TaskCrashes:
--- a/internal/process/entry/restartable.go
+++ b/internal/process/entry/restartable.go
@@ -36,7 +36,7 @@
 	}
 	restartableAbandoned struct {
 		job    string
-		caller chan<- scheduler.Decided // of the caller that no longer waits; nil cancels the job for all callers
+		caller chan<- scheduler.Decided // of the caller that no longer waits
 	}
 	restartableQueried struct {
 		job, queue string
@@ -75,6 +75,7 @@
 	capacitiesSent  map[*session.Session]*wire.Capacities // the report that each peer has last got
 	unresolved      *wire.UnresolvedJobs
 	unresolvedSent  map[*session.Session]*wire.UnresolvedJobs // the report that each peer has last got
+	cancellations   cancellations
 }
 
 func newRestartableJobs(identity session.Identity) restartableJobs {
@@ -82,7 +83,7 @@
 		scheduler: scheduler.New(scheduler.Config{Seed: identity.Incarnation, AvailabilityZone: identity.AvailabilityZone}),
 		callers:   map[string][]chan<- scheduler.Decided{}, verdicts: map[string]keptVerdict{},
 		capacities: &wire.Capacities{}, capacitiesSent: map[*session.Session]*wire.Capacities{},
-		unresolvedSent: map[*session.Session]*wire.UnresolvedJobs{},
+		unresolvedSent: map[*session.Session]*wire.UnresolvedJobs{}, cancellations: newCancellations(identity.ID),
 	}
 }
 
@@ -102,9 +103,6 @@
 	e.loop.Post(restartableAbandoned{job: job, caller: caller})
 }
 
-// CancelRestartableJob cancels a restartable job on this entry and on all connected entries.
-func (e *Entry) CancelRestartableJob(job string) { e.loop.Post(restartableAbandoned{job: job}) }
-
 // QueryRestartableJob returns the state of a restartable job and its queue.
 func (e *Entry) QueryRestartableJob(job, queue string) (RestartableJobState, error) {
 	states := make(chan RestartableJobState, 1)
@@ -164,16 +162,15 @@
 		event.caller <- known.decided
 		return
 	}
+	if !e.admitSubmission(event) {
+		return
+	}
 	e.restartable.callers[id] = append(e.restartable.callers[id], event.caller)
 	e.stepScheduler(scheduler.Submitted{Submission: event.submission})
 }
 
 func (e *Entry) abandonRestartable(event restartableAbandoned) {
-	if event.caller == nil {
-		for _, peer := range e.peers {
-			peer.Send(&wire.JobCancel{Job: event.job})
-		}
-		e.stepScheduler(scheduler.Cancelled{Job: event.job})
+	if e.forgetHeld(event.caller) {
 		return
 	}
 	left := slices.DeleteFunc(e.restartable.callers[event.job], func(caller chan<- scheduler.Decided) bool { return caller == event.caller })
@@ -338,6 +335,7 @@
 func (e *Entry) wakeScheduler() {
 	now := clock.SinceBoot()
 	j := &e.restartable
+	e.wakeCancellations(now)
 	if due, ok := j.scheduler.NextWake(); ok && due <= now {
 		e.stepScheduler(scheduler.Tick{})
 	}
@@ -348,6 +346,7 @@
 				delete(j.verdicts, id)
 			}
 		}
+		j.cancellations.machine.Expire(now)
 		e.shareCapacities()
 		e.shareUnresolved()
 	}
@@ -392,6 +391,9 @@
 
 // receiveRunMessage passes a message about runs to the scheduler. It returns false for other messages.
 func (e *Entry) receiveRunMessage(from scheduler.AgentID, message wire.Message) bool {
+	if ends, ok := message.(*wire.RunEnds); ok {
+		e.learnCancellations(ends.Ends)
+	}
 	switch message.(type) {
 	case *wire.OwnerPoll, *wire.RunInventory, *wire.WorkerState, *wire.WorkerSpeed, *wire.WorkerCrash, *wire.RunEnds:
 		e.stepScheduler(scheduler.AgentMessage{Agent: from, Message: message})
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -104,6 +104,16 @@
 		"No worker has crashed under tasks of the confined queue for some seconds. Its tasks run on all agents again.")
 	RunsUnresolved = define(1360, zapcore.InfoLevel, "jobs with runs on unreachable hosts",
 		"The field jobs counts the jobs of this entry with a run at an agent that does not respond. Its host may be suspended, so no entry starts these jobs again until the agent is back or is given up; their callers get 504 meanwhile. If the number does not return to zero, find out why the agent is unreachable.")
+	CancellationUnconfirmed = define(1370, zapcore.InfoLevel, "cancellation not confirmed by every entry",
+		"A majority of the entries keeps the cancellation, and it was acknowledged, but some entry has not confirmed it within 300 ms or has no session with this one. Agents were told to stop and refuse the runs of the job. If this lasts, find the entry that is stalled or cut off.")
+	CancellationRefused = define(1371, zapcore.WarnLevel, "cancellation not acknowledged",
+		"The caller got 503 with Retry-After: fewer than a majority of the entries keep the cancellation, or this entry keeps too many. The job may continue or run again. Check that most of the listed entries run and are connected.")
+	JobsContinued = define(1372, zapcore.InfoLevel, "jobs continued after a gap",
+		"The entry had received nothing from any other process for a second or more, or had no session with a majority of the entries. It has asked the other entries which jobs were cancelled meanwhile, and has continued the rest. The fields jobs and submissions count what was held.")
+	JobsNotContinued = define(1373, zapcore.WarnLevel, "jobs not continued after a gap",
+		"As event 1372, but a majority of the entries did not answer within a second, or the gap was longer than 25 s, so a cancellation may be unknown. The jobs from before the gap were given up, and their callers got 503 if nothing had run and 504 otherwise. Check the connections between the entries.")
+	CancelledJobSubmitted = define(1374, zapcore.InfoLevel, "cancelled job submitted",
+		"A job was submitted after its cancellation had been acknowledged, for example again by a caller without a response. It is not run, and the caller gets 410.")
 	RunUnsuccessful = define(1353, zapcore.InfoLevel, "run ended without success",
 		"A run of a restartable job failed, was lost, stopped or refused; the task is run again unless its job has a verdict.")
 )
--- a/internal/request/cancellation/machine.go
+++ b/internal/request/cancellation/machine.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// DefaultLimit bounds the cancellations that an entry keeps; a million take about 100 MB.
+	// DefaultLimit bounds the cancellations that an entry keeps. 744,000 took 36 to 63 MB.
 	DefaultLimit = 1 << 20
 	// AgentLimit bounds the cancellations that an agent keeps. It is told only those that some entry has not confirmed.
 	AgentLimit = 1 << 15
