--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -71,6 +71,9 @@
 	FeatureUnresolved Feature = 1 << 3
 	// FeatureRanks means that the sender, an agent, understands RankedOrder.
 	FeatureRanks Feature = 1 << 8
+	// FeatureCancellations means that the sender, an entry, understands the messages of cancellation.go, or, an agent,
+	// JobCancellation and CancellationRecords.
+	FeatureCancellations Feature = 1 << 9
 )
 
 // Closing reports that the sender is draining and accepts no new work. It does not close the
