runner: do not repeat calls that fail at once

Cause: if the worker resets its connections, a start was sent four times without a pause, and reports were requested every 6 ms, each call on a new connection. Change: a start is sent again only if its call has waited for a response; otherwise the next report decides. Only renewals that have waited count as lost reports.

--- a/internal/request/runner/repeat.go
+++ b/internal/request/runner/repeat.go
@@ -54,9 +54,11 @@
 	return true
 }
 
-// startUnanswered sends the start again whose last call was not answered, and requests a report beside it.
+// startUnanswered sends the start again whose last call was not answered, and requests a report beside it. A call that
+// failed without waiting for a response is not sent again: the worker has closed the connection, and would probably close
+// the next one.
 func (m *Machine) startUnanswered(now time.Duration, r *record) {
-	if !m.repeatStart(now, r) {
+	if now < r.sentAt+repeatInterval || !m.repeatStart(now, r) {
 		m.startUnconfirmed(now, r)
 	}
 	m.worker.outOfBandWanted = true
--- a/internal/request/runner/repeat_test.go
+++ b/internal/request/runner/repeat_test.go
@@ -43,6 +43,12 @@
 	options[h.choose(names)].do()
 }
 
+// letStartTimeOut lets the first start call time out; it may still be carried out.
+func (h *handOver) letStartTimeOut(t *testing.T) {
+	h.now += runner.CallTimeout(h.transits[h.start(t)].action)
+	h.leaveStartUnanswered(t)
+}
+
 // TestRepeatedStart guards against a task that runs twice at the same time, or after its entry has been told that it is
 // over, when a start call is sent again because earlier calls were not answered and are carried out later. It tries all
 // orders of events up to a depth after the first unanswered start call.
@@ -52,7 +58,7 @@
 	runs, most := 0, uint64(0)
 	for {
 		h := newHandOver(c)
-		h.leaveStartUnanswered(t)
+		h.letStartTimeOut(t)
 		for range depth {
 			h.repeatEvent()
 			if h.fault != "" {
@@ -75,7 +81,7 @@
 // second start call.
 func TestStartAnsweredAtSecondCall(t *testing.T) {
 	h := newHandOver(&choices{})
-	h.leaveStartUnanswered(t)
+	h.letStartTimeOut(t)
 	h.execute(len(h.transits) - 2) // the repeated start; a renewal follows it
 	if len(h.worker.Running) != 1 || !h.open {
 		t.Fatalf("runs in progress: %v; the run has an outcome: %t", h.worker.Running, !h.open)
@@ -91,7 +97,7 @@
 // restarted with the same ID carries out the last copy of its start call.
 func TestRepeatedStartOnRestartedWorker(t *testing.T) {
 	h := newHandOver(&choices{})
-	h.leaveStartUnanswered(t)
+	h.letStartTimeOut(t)
 	h.execute(h.start(t)) // the first call
 	h.executeRenewals()
 	h.worker.Running[0].EndsAt = h.now
@@ -108,3 +114,37 @@
 		t.Fatal(h.fault)
 	}
 }
+
+// TestStartThatFailsAtOnce guards against start calls that are repeated without a pause, each on a new connection, while
+// the worker resets all connections.
+func TestStartThatFailsAtOnce(t *testing.T) {
+	h := newHandOver(&choices{})
+	h.leaveStartUnanswered(t) // without waiting
+	if stats := h.current().machine.Stats(); stats.Starts != 1 {
+		t.Errorf("%d start calls", stats.Starts)
+	}
+	h.executeRenewals()
+	if h.open || h.fault != "" {
+		t.Errorf("the run has an outcome: %t; %s", !h.open, h.fault)
+	}
+}
+
+// TestRenewalsThatFailAtOnce guards against reports that are requested at the rate for lost reports, each on a new
+// connection, while the worker resets all connections.
+func TestRenewalsThatFailAtOnce(t *testing.T) {
+	h := newHandOver(&choices{})
+	h.execute(h.start(t))
+	const steps = 30
+	before := h.current().machine.Stats().Renewals
+	for range steps {
+		pending := h.transits
+		h.transits = nil
+		for _, c := range pending {
+			h.step(c.from, responseOf(c.action, runner.NoResponse, h.now))
+		}
+		h.advance(10 * time.Millisecond)
+	}
+	if renewals := h.current().machine.Stats().Renewals - before; renewals > steps+2 {
+		t.Errorf("%d renewals in %d steps of 10 ms", renewals, steps)
+	}
+}
--- a/internal/request/runner/worker.go
+++ b/internal/request/runner/worker.go
@@ -280,7 +280,9 @@
 		retry := w.backOff()
 		if e.Result == NoResponse {
 			m.noteUnanswered(now)
-			m.noteReportLost(now)
+			if now >= e.Sent+repeatInterval { // a call that failed at once has delayed no report
+				m.noteReportLost(now)
+			}
 			retry = unansweredBackoff
 		}
 		switch {
