cancellation: a majority that has just started is enough after a start of all

Change: an entry that starts continues once a majority has answered that it has just started as well; the answer says so. Entries that stalled do not count: with them, the model started a cancelled job.

--- a/internal/connection/wire/cancellation.go
+++ b/internal/connection/wire/cancellation.go
@@ -44,9 +44,10 @@
 
 // CancellationAnswer ends the answer to CancellationQuery.
 type CancellationAnswer struct {
-	_      struct{} `cbor:",toarray"`
-	Round  uint64   // of the query
-	Asking bool     // the sender waits for answers itself, so cancellations may be missing
+	_        struct{} `cbor:",toarray"`
+	Round    uint64   // of the query
+	Asking   bool     // the sender waits for answers itself, so cancellations may be missing
+	Starting bool     // the sender has just started and waits for its first answers
 }
 
 // MessageType implements Message.
