httpapi: return memory after a crowd of clients has gone

Cause: a process without load does not collect garbage, so what a crowd of clients had used stayed resident for minutes. Change: 15 s after at least 512 connections or 8 MiB of bodies were in use and less than a quarter is, the process collects garbage and returns memory to the system.

--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -180,6 +180,8 @@
 func (g *Guard) acquire(c *guardedConn, class budget.Class, n int) bool {
 	g.mu.Lock()
 	grant := g.budget.Acquire(c.id, class, n)
+	callers, reserved, _ := g.budget.Bytes()
+	g.grown = g.grown || callers+reserved >= grownBytes
 	if grant != budget.Waiting {
 		g.mu.Unlock()
 		return grant == budget.Granted
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"runtime"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +26,12 @@
 	defaultHeaderTimeout = 10 * time.Second
 	// acceptRetryInterval is the pause after a connection could not be accepted for lack of descriptors or memory.
 	acceptRetryInterval = 20 * time.Millisecond
+	// grownConnections and grownBytes are the use from which on memory is returned to the system afterwards: more than 300
+	// callers, the number that is normal for the smallest entry, and more than a configuration of 4 MiB with its decoding.
+	grownConnections = 512
+	grownBytes       = 8 << 20
+	// returnDelay is how long after that memory is returned: longer than fasthttp keeps an idle goroutine (10 s).
+	returnDelay = 15 * time.Second
 	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the response is not lost by a
 	// reset of the connection.
 	lingerTime  = 500 * time.Millisecond
@@ -58,6 +66,7 @@
 	budget      *budget.Budget
 	connections map[budget.ID]*guardedConn
 	servers     []*Server
+	grown       bool // many connections or bytes were in use since the memory was last returned
 }
 
 // NewGuard returns a guard without listeners.
@@ -201,6 +210,7 @@
 	if refused == "" {
 		guarded = &guardedConn{Conn: conn, server: s, id: id}
 		g.connections[id] = guarded
+		g.grown = g.grown || len(g.connections) >= grownConnections
 	}
 	g.mu.Unlock()
 	if victim != nil {
@@ -282,6 +292,7 @@
 	defer g.mu.Unlock()
 	delete(g.connections, c.id)
 	g.wake(g.budget.Close(c.id))
+	g.returnMemory()
 	return err
 }
 
@@ -325,4 +336,21 @@
 	}
 	c.holds = false
 	g.wake(g.budget.Idle(g.now(), c.id))
+	g.returnMemory()
+}
+
+// returnMemory schedules the return of memory to the system after many clients or large bodies are gone. Without it, the
+// memory is kept for minutes, because a process without load does not collect garbage. g.mu must be held.
+func (g *Guard) returnMemory() {
+	if !g.grown || len(g.connections) >= grownConnections/4 {
+		return
+	}
+	if callers, reserved, _ := g.budget.Bytes(); callers+reserved >= grownBytes/4 {
+		return
+	}
+	g.grown = false
+	time.AfterFunc(returnDelay, func() {
+		runtime.GC() // buffers in pools are kept for one collection
+		debug.FreeOSMemory()
+	})
 }
