scheduler: don't stop stragglers whose task is long

A run over 1.6 times the median of its peers was stopped and its task run again elsewhere. If 3% of the tasks are long by themselves, the next run is as long, and is stopped again at twice the limit. An entry now records whether the next run was faster than the stopped one.

--- a/internal/request/scheduler/cluster_test.go
+++ b/internal/request/scheduler/cluster_test.go
@@ -87,6 +87,7 @@
 	scheduled       []timedAction
 	meanNeed        int64                        // of a task in thousandths of a processor
 	actual          map[run.TaskID]time.Duration // run time at mean speed
+	slowRunShare    float64                      // share of the runs that take tailFactor times as long
 	failingJobs     map[string]bool
 	startedRuns     map[string]int // runs started by workers, by job
 	records         map[string]*jobRecord
@@ -160,6 +161,9 @@
 
 func (c *cluster) planRun(n *node, task run.TaskID) (time.Duration, run.Outcome) {
 	length := time.Duration(float64(c.actual[task]) * n.slowness)
+	if c.slowRunShare > 0 && c.random.Float64() < c.slowRunShare {
+		length *= tailFactor
+	}
 	switch {
 	case c.failingJobs[task.Job]:
 		return length / 2, run.Failed
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -70,6 +70,10 @@
 	crashReported   bool // a worker crash under the active run was reported
 	done            bool
 	stragglers      uint // runs stopped as stragglers
+	countedLong     bool // the active run was counted in longTasks.spent
+	// stoppedAfter is the time, normalised to mean speed, after which the last straggler was stopped because it exceeded
+	// the median of its peers; zero if the outcome is recorded in longTasks.
+	stoppedAfter time.Duration
 	// avoidAgent is the last agent on which a run failed, was lost or was stopped, for example as a straggler, or
 	// that refused a run with run.Unfit, run.Unhealthy or run.Conflict. It is not reset by later runs elsewhere.
 	avoidAgent *agent
@@ -453,7 +457,9 @@
 		m.meanRunTime = runTime
 	}
 	m.meanRunTime += time.Duration(meanRunTimeWeight * float64(runTime-m.meanRunTime))
-	j.completedRunTimes = append(j.completedRunTimes, a.normalise(now, runTime))
+	normalised := a.normalise(now, runTime)
+	m.recordDone(t, normalised)
+	j.completedRunTimes = append(j.completedRunTimes, normalised)
 	q.runTimeRatio.observe(now, &a.speed, runTime, t.declaredRunTime())
 	if j.incompleteTasks == 0 && !j.hasVerdict {
 		m.setVerdict(now, j, Completed, nil)
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -60,7 +60,8 @@
 	unresolved        unresolvedRuns
 	poolsOutdated     bool            // the agents of confined queues have to be chosen again
 	openToAll         map[string]bool // services with an agent that is not reserved for a confined queue; valid while one is confined
-	meanRunTime       time.Duration   // moving average over all queues; zero before the first run
+	longTasks         longTasks
+	meanRunTime       time.Duration // moving average over all queues; zero before the first run
 	arrival           uint64
 	nextCheckAt       time.Duration // when checkJobs is next due; zero if never
 	// After a pause of this process, the jobs up to heldArrival get no runs until heldUntil.
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -157,7 +157,7 @@
 	t, a := p.task, p.agent
 	j := t.job
 	t.number++
-	t.agent, t.orderedAt, t.cancelRequested, t.crashReported = a, now, false, false
+	t.agent, t.orderedAt, t.cancelRequested, t.crashReported, t.countedLong = a, now, false, false, false
 	t.predicted = m.predict(t, a)
 	a.tasks[t] = struct{}{}
 	j.unplacedTasks--
