scheduler: keep tasks off slow workers on which they would be late

A run was sent to any worker with free capacity, also to one on which its job must be late. With one worker in four at 0.55 of the mean speed, a quarter of the long class was late at the capacity, while short tasks that would have been in time there ran on fast workers. A worker that is learned to need 1.25 times the mean time now gets a task that would be late there only when the task can no longer be in time on any worker. Jobs of the same queue with no more time left, relative to their run time, are not evaluated again in the same pass.

--- a/internal/request/scheduler/overload_test.go
+++ b/internal/request/scheduler/overload_test.go
@@ -254,3 +254,16 @@
 		}
 	}
 }
+
+// Guards against long tasks on workers on which they are late, while faster workers run short tasks that would have been
+// in time on the slow ones.
+func TestLongTasksAvoidSlowWorkers(t *testing.T) {
+	result := competingCallers.play(1, 1, 3*time.Second)
+	long := result.classes["long"]
+	share := float64(long.inTime) / float64(long.jobs)
+	inTime, _ := result.served()
+	t.Logf("in time %.3f, of the long class %.3f", inTime, share)
+	if share < 0.8 || inTime < 0.9 {
+		t.Errorf("in time %.3f, of the long class %.3f, want 0.9 and 0.8", inTime, share)
+	}
+}
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -32,6 +32,9 @@
 	// equalCompletionRatio is the ratio of predicted times to completion below which the agent with more
 	// free capacity is chosen.
 	equalCompletionRatio = 1.15
+	// slowWorkerFactor is the run time on a worker, relative to mean speed, from which it gets no tasks that would be late
+	// there but in time elsewhere. Below, the difference is within the error of the estimates.
+	slowWorkerFactor = 1.25
 )
 
 // placeWaiting orders runs for waiting tasks while agents have free capacity or a short predicted wait for it
@@ -74,6 +77,9 @@
 	queue    string // if it is confined; otherwise the need is blocked for all queues that are not confined
 	priority int
 	need     job.Resources
+	// stretch is set if the run would have been late on the agents with free capacity: the need is then blocked only for
+	// tasks with at most this ratio of the time left to the predicted run time.
+	stretch float64
 }
 
 // placeJob plans runs for the waiting tasks of a job and orders them. A job is started only if all of
@@ -88,13 +94,13 @@
 			continue
 		}
 		need := j.submission.Steps[t.step].Need
-		if m.isBlocked(*blocked, j.submission, need) {
+		if m.isBlocked(now, *blocked, t, need) {
 			break
 		}
 		choice := m.chooseAgent(now, t)
 		if choice.agent == nil {
 			if !choice.onlyAvoided {
-				*blocked = append(*blocked, blockedNeed{service: j.submission.Service, queue: m.confinedQueue(j.submission), priority: j.submission.Priority, need: need})
+				*blocked = append(*blocked, blockedNeed{service: j.submission.Service, queue: m.confinedQueue(j.submission), priority: j.submission.Priority, need: need, stretch: choice.stretch})
 			}
 			break
 		}
@@ -129,13 +135,25 @@
 
 // isBlocked reports whether the need is at least as large as a blocked one of the same service and of the
 // same or a more urgent priority, for a queue that uses the same agents.
-func (m *Machine) isBlocked(blocked []blockedNeed, s *Submission, need job.Resources) bool {
+func (m *Machine) isBlocked(now time.Duration, blocked []blockedNeed, t *task, need job.Resources) bool {
+	s := t.job.submission
 	queue := m.confinedQueue(s)
 	return slices.ContainsFunc(blocked, func(b blockedNeed) bool {
-		return b.service == s.Service && b.queue == queue && b.priority <= s.Priority && need.Covers(b.need)
+		return b.service == s.Service && b.queue == queue && b.priority <= s.Priority && need.Covers(b.need) &&
+			(b.stretch == 0 || m.stretch(now, t) <= b.stretch)
 	})
 }
 
+// due returns when a task must be completed for the job to meet its objective.
+func (t *task) due() time.Duration {
+	return t.job.waitStartedAt + t.job.summary.Objective - requestOverhead
+}
+
+// stretch returns the time left for a task relative to its predicted run time at mean speed.
+func (m *Machine) stretch(now time.Duration, t *task) float64 {
+	return float64(t.due()-now) / float64(m.statsOf(t.job.submission.Queue).runTimeRatio.predict(t.declaredRunTime()))
+}
+
 // confinedQueue returns the queue of a submission if it is confined, and otherwise an empty string.
 func (m *Machine) confinedQueue(s *Submission) string {
 	if m.confined(s.Queue) {
@@ -265,9 +283,14 @@
 	// onlyAvoided is set, without an agent, if the only agent that could take the run is the one that this task
 	// avoids: other tasks with the same need may be sent there.
 	onlyAvoided bool
+	// stretch is set, without an agent, if the task would be late on the agents with free capacity, but may be in time
+	// on others (see Machine.stretch).
+	stretch float64
 }
 
-// chooseAgent returns the agent with the earliest predicted completion for a task. The tasks of a job of a confined queue
+// chooseAgent returns the agent with the earliest predicted completion for a task. If only slow workers
+// have capacity and the task would be late there, it waits while it can still be in time on another worker: it would take
+// capacity that shorter tasks can use in time. The tasks of a job of a confined queue
 // are sent to the same agent while it has free capacity, so that a crash hits few other jobs. The task's avoidAgent is chosen
 // only if no other agent is available, with or without free capacity, and not before avoidUntil; the agent's own
 // backoff is then ignored.
@@ -277,6 +300,8 @@
 	var best *agent
 	var bestCompletion time.Duration
 	var bestOption placementOption
+	due, bestLate, mayWait := t.due(), false, false
+	base := m.statsOf(s.Queue).runTimeRatio.predict(t.declaredRunTime())
 	avoided, others := false, false
 	for _, a := range m.sortedAgents {
 		if !m.serves(a, s) || !m.available(now, a) || !a.state.Capacity.Covers(need) {
@@ -287,6 +312,9 @@
 			continue
 		}
 		others = true
+		// The recent deviation of an agent is too noisy to let tasks wait.
+		learned := time.Duration(float64(base) * a.speed.learned.Factor())
+		mayWait = mayWait || now+a.roundTrip+learned <= due
 		option := m.evaluate(a, need, s.Priority)
 		if !option.ok || now < a.backoffUntil {
 			continue
@@ -295,14 +323,21 @@
 			return agentChoice{agent: a}
 		}
 		completion := a.roundTrip + option.wait + m.predict(t, a)
+		late := a.speed.learned.Factor() >= slowWorkerFactor && now+a.roundTrip+option.wait+learned > due
 		switch {
-		case best == nil, option.wait == 0 && bestOption.wait > 0:
+		case best == nil, bestLate && !late:
+		case late && !bestLate:
+			continue
+		case option.wait == 0 && bestOption.wait > 0:
 		case option.wait > 0 && bestOption.wait == 0:
 			continue // a run is sent to wait only if no agent has free capacity
 		case !isBetter(completion, option.free, bestCompletion, bestOption.free, m.random.Uint32()):
 			continue
 		}
-		best, bestCompletion, bestOption = a, completion, option
+		best, bestCompletion, bestOption, bestLate = a, completion, option, late
+	}
+	if bestLate && mayWait {
+		return agentChoice{stretch: m.stretch(now, t)}
 	}
 	if best == nil && avoided {
 		option := m.evaluate(t.avoidAgent, need, s.Priority)
