scheduler: bound the wait of tasks for faster workers

A task that would be late on the workers with free capacity waited for a faster one until the latest start of its job. Its wait counted as overload of the queue, so that jobs were refused on arrival while workers were free.

The simulated uneven load can draw its tail per job.

--- a/internal/request/scheduler/admission.go
+++ b/internal/request/scheduler/admission.go
@@ -13,6 +13,9 @@
 	// admitWaitPercent is the share of the time until its latest start that a new job may be expected
 	// to wait. The rest is reserved for more urgent jobs that arrive later.
 	admitWaitPercent = 60
+	// waitForSpeedMemory is how long a wait for a faster worker affects the throughput: after four windows, three
+	// quarters of the moving average are newer.
+	waitForSpeedMemory = 4 * throughputWindow
 )
 
 // throughput measures how many runs of a queue an entry orders per second while jobs of the queue
@@ -69,8 +72,13 @@
 }
 
 // wouldBeLate reports whether the expected wait of a new job exceeds admitWaitPercent of the time until
-// its latest start.
+// its latest start. While tasks of the queue wait for faster workers, the throughput says little, and a job for which
+// agents report free capacity is not late.
 func (m *Machine) wouldBeLate(now time.Duration, j *jobState) bool {
-	wait := m.statsOf(j.submission.Queue).throughput.expectedWait(now, len(j.tasks))
-	return wait > 0 && wait > (j.latestStart-now)*admitWaitPercent/100
+	q := m.statsOf(j.submission.Queue)
+	wait := q.throughput.expectedWait(now, len(j.tasks))
+	if wait == 0 || wait <= (j.latestStart-now)*admitWaitPercent/100 {
+		return false
+	}
+	return now >= q.waitsForSpeedUntil || !m.hasFreeCapacity(now, j.submission)
 }
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -89,10 +89,11 @@
 
 // queueStats holds the statistics of a queue.
 type queueStats struct {
-	throughput   throughput
-	runTimeRatio runTimeRatio
-	failureRate  health.FailureRate
-	traffic      trafficCounter
+	throughput         throughput
+	waitsForSpeedUntil time.Duration // waitForSpeedMemory after a task last waited for a faster worker
+	runTimeRatio       runTimeRatio
+	failureRate        health.FailureRate
+	traffic            trafficCounter
 }
 
 func (m *Machine) statsOf(queue string) *queueStats {
--- a/internal/request/scheduler/overload_test.go
+++ b/internal/request/scheduler/overload_test.go
@@ -19,6 +19,7 @@
 	need            int64   // mean need of a task in thousandths of a processor
 	tailShare       float64 // share of the tasks, or of the runs if tailOfRuns is set, that take tailFactor times as long
 	tailOfRuns      bool
+	tailOfJobs      bool // the share of tailShare is drawn per job: all of its tasks are long
 	speed           func(agent int) float64
 }
 
@@ -116,8 +117,9 @@
 func (o *overload) submitOne(c *cluster, e *entryProcess, class jobClass, needs map[string]int64) {
 	s := c.submission(class)
 	record := c.records[s.ID]
+	longJob := o.tailOfJobs && c.random.Float64() < o.tailShare
 	for n := range s.Steps[0].Count {
-		if id := (run.TaskID{Job: s.ID, Index: uint16(n)}); !o.tailOfRuns && c.random.Float64() < o.tailShare {
+		if id := (run.TaskID{Job: s.ID, Index: uint16(n)}); longJob || !o.tailOfRuns && !o.tailOfJobs && c.random.Float64() < o.tailShare {
 			c.actual[id] *= tailFactor
 			record.actual = max(record.actual, c.actual[id])
 		}
@@ -267,3 +269,49 @@
 		t.Errorf("in time %.3f, of the long class %.3f, want 0.9 and 0.8", inTime, share)
 	}
 }
+
+// jobTails is the uneven load as observed: the tail is drawn per job.
+func jobTails() overload {
+	o := unevenLoad
+	o.tailOfJobs = true
+	return o
+}
+
+// outcomes returns the results of the jobs from the given index on.
+func (c *cluster) outcomes(first int) *overloadResult {
+	result := &overloadResult{classes: map[string]*classResult{}}
+	for _, record := range c.allRecords[first:] {
+		result.add(record)
+	}
+	return result
+}
+
+// loseWorkers ends every fourth worker, with its agent.
+func (c *cluster) loseWorkers() {
+	for k := 1; k < len(c.nodes); k += 4 {
+		n := c.nodes[k]
+		for _, e := range c.entries {
+			c.disconnect(e, n)
+		}
+		n.unreachable, n.worker.Down = true, true
+	}
+}
+
+// Guards against jobs that wait for faster workers, and are refused, while the remaining workers have free capacity.
+func TestLossOfWorkersBelowCapacity(t *testing.T) {
+	for name, load := range map[string]overload{"uneven load": jobTails(), "competing callers": competingCallers} {
+		for seed := range uint64(3) {
+			c := load.start(seed)
+			load.submitAll(c, time.Second, 0.6, map[string]int64{})
+			c.loseWorkers()
+			first := len(c.allRecords)
+			load.submitAll(c, 2*time.Second, 0.6, map[string]int64{})
+			c.advance(8 * time.Second)
+			inTime, rejected := c.outcomes(first).served()
+			t.Logf("%s, seed %d: in time %.3f, rejected %.3f", name, seed, inTime, rejected)
+			if rejected > 0 {
+				t.Errorf("%s, seed %d: %.3f of the jobs were rejected, want none", name, seed, rejected)
+			}
+		}
+	}
+}
--- a/internal/request/scheduler/place.go
+++ b/internal/request/scheduler/place.go
@@ -149,6 +149,12 @@
 	return t.job.waitStartedAt + t.job.summary.Objective - requestOverhead
 }
 
+// waitsForSpeedUntil returns until when the tasks of a job may wait for a faster worker. It leaves half of the time
+// until the latest start under overload, so that the job isn't refused because of this wait.
+func (j *jobState) waitsForSpeedUntil() time.Duration {
+	return j.waitStartedAt + (j.overloadLatestStart-j.waitStartedAt)/2
+}
+
 // stretch returns the time left for a task relative to its predicted run time at mean speed.
 func (m *Machine) stretch(now time.Duration, t *task) float64 {
 	return float64(t.due()-now) / float64(m.statsOf(t.job.submission.Queue).runTimeRatio.predict(t.declaredRunTime()))
@@ -314,8 +320,8 @@
 		others = true
 		// The recent deviation of an agent is too noisy to let tasks wait.
 		learned := time.Duration(float64(base) * a.speed.learned.Factor())
-		mayWait = mayWait || now+a.roundTrip+learned <= due
 		option := m.evaluate(a, need, s.Priority)
+		mayWait = mayWait || now+a.roundTrip+learned <= due
 		if !option.ok || now < a.backoffUntil {
 			continue
 		}
@@ -336,7 +342,8 @@
 		}
 		best, bestCompletion, bestOption, bestLate = a, completion, option, late
 	}
-	if bestLate && mayWait {
+	if bestLate && mayWait && now < t.job.waitsForSpeedUntil() {
+		m.statsOf(s.Queue).waitsForSpeedUntil = now + waitForSpeedMemory
 		return agentChoice{stretch: m.stretch(now, t)}
 	}
 	if best == nil && avoided {
@@ -349,6 +356,29 @@
 	return agentChoice{agent: best, wait: bestOption.wait}
 }
 
+// hasFreeCapacity reports whether the eligible agents have reported free capacity for all tasks of a submission, apart
+// from what this entry has ordered since.
+func (m *Machine) hasFreeCapacity(now time.Duration, s *Submission) bool {
+	for _, step := range s.Steps {
+		fitting := 0
+		for _, a := range m.sortedAgents {
+			if fitting >= step.Count {
+				break
+			}
+			if !m.serves(a, s) || !m.available(now, a) || now < a.backoffUntil {
+				continue
+			}
+			if option := m.evaluate(a, step.Need, s.Priority); option.ok && option.wait == 0 {
+				fitting += 1 + int(option.free/max(1, step.Need.MilliProcessors))
+			}
+		}
+		if fitting < step.Count {
+			return false
+		}
+	}
+	return true
+}
+
 // hasRunOf reports whether a run of the job is active or planned at the agent.
 func (m *Machine) hasRunOf(a *agent, j *jobState) bool {
 	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.agent == a }) ||
