scheduler: refuse fewer jobs in a newly started entry

After a loss of power, all entries start at once and the jobs that arrived meanwhile are submitted within a few tenths of a second. The throughput of an entry is then measured over windows in which no run has ended yet, so that jobs were refused on arrival and at a quarter of their spare time, although they could still start in time. For the 1.5 s in which an entry counts as newly started it no longer refuses by the throughput, and a job may wait for 0.8 of its spare time.

--- a/internal/request/scheduler/admission.go
+++ b/internal/request/scheduler/admission.go
@@ -72,9 +72,13 @@
 }
 
 // wouldBeLate reports whether the expected wait of a new job exceeds admitWaitPercent of the time until
-// its latest start. While tasks of the queue wait for faster workers, the throughput says little, and a job for which
+// its latest start. In a newly started process, the throughput covers the time before the first runs have freed their
+// capacity, and is too low. While tasks of the queue wait for faster workers, the throughput says little, and a job for which
 // agents report free capacity is not late.
 func (m *Machine) wouldBeLate(now time.Duration, j *jobState) bool {
+	if m.newlyStarted(now) {
+		return false
+	}
 	q := m.statsOf(j.submission.Queue)
 	wait := q.throughput.expectedWait(now, len(j.tasks))
 	if wait == 0 || wait <= (j.latestStart-now)*admitWaitPercent/100 {
--- a/internal/request/scheduler/agent.go
+++ b/internal/request/scheduler/agent.go
@@ -307,9 +307,12 @@
 // then wait for agents rather than for free capacity.
 func (m *Machine) awaitingAgents(now time.Duration, service string) bool {
 	workers := m.workersOf(service)
-	return now < m.firstStep+startupGrace && (!workers.everOpen || now < workers.firstOpenAt+furtherWorkersGrace)
+	return m.newlyStarted(now) && (!workers.everOpen || now < workers.firstOpenAt+furtherWorkersGrace)
 }
 
+// newlyStarted reports whether this process has run for less than startupGrace.
+func (m *Machine) newlyStarted(now time.Duration) bool { return now < m.firstStep+startupGrace }
+
 func scale(need job.Resources, n int) job.Resources {
 	return job.Resources{
 		MilliProcessors: need.MilliProcessors * int64(n), MemoryBytes: need.MemoryBytes * int64(n), Accelerators: need.Accelerators * int64(n),
--- a/internal/request/scheduler/cluster_test.go
+++ b/internal/request/scheduler/cluster_test.go
@@ -33,10 +33,11 @@
 	worker            *simworker.Worker
 	workerIncarnation int64
 	slowness          float64
-	failShare         float64 // share of runs that fail immediately
-	hangShare         float64 // share of runs that hang
-	unreachable       bool    // messages to and from the entries are dropped
-	timeoutShare      float64 // share of calls to the worker that time out and are executed seconds later
+	capacity          job.Resources // as last announced
+	failShare         float64       // share of runs that fail immediately
+	hangShare         float64       // share of runs that hang
+	unreachable       bool          // messages to and from the entries are dropped
+	timeoutShare      float64       // share of calls to the worker that time out and are executed seconds later
 	pendingRenewals   []timedAction
 	unanswered        func(runner.Action) bool // if set, selects further calls that time out and are executed seconds later
 	// While the agent's process is paused, its events wait.
@@ -85,6 +86,8 @@
 	nodes           []*node
 	entries         []*entryProcess
 	scheduled       []timedAction
+	loadRandom      *rand.Rand                   // of the jobs; nil: random
+	restartedAt     time.Duration                // by powerLoss
 	meanNeed        int64                        // of a task in thousandths of a processor
 	actual          map[run.TaskID]time.Duration // run time at mean speed
 	slowRunShare    float64                      // share of the runs that take tailFactor times as long
@@ -150,10 +153,15 @@
 }
 
 func (c *cluster) announce(n *node) {
-	c.announceCapacity(n, workerCapacity)
+	capacity := n.capacity
+	if capacity == (job.Resources{}) {
+		capacity = workerCapacity
+	}
+	c.announceCapacity(n, capacity)
 }
 
 func (c *cluster) announceCapacity(n *node, capacity job.Resources) {
+	n.capacity = capacity
 	c.stepAgent(n, runner.WorkerAnnounced{
 		Worker: n.worker.ID, Sequence: uint64(c.now), Service: service, Capacity: capacity, Clock: n.worker.Clock(c.now),
 	})
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -20,6 +20,9 @@
 	// its first run has started, so the first run must start earlier.
 	maxWaitPercent         = 50
 	overloadMaxWaitPercent = 25
+	// startupMaxWaitPercent replaces both while this process counts as newly started. Other entries start at the same
+	// time after a loss of power, and the jobs that arrived meanwhile are submitted at once.
+	startupMaxWaitPercent = 80
 	// defaultWait applies to submissions without a wait.
 	defaultWait = 30 * time.Second
 	// minRetryAfter and maxRetryAfter bound the retry delay suggested for rejected jobs.
@@ -135,6 +138,10 @@
 	spare := max(objective-requestOverhead-optimisticRunTime(longest), s.Slack/2)
 	j.overloadLatestStart = min(waitStartedAt+spare*overloadMaxWaitPercent/100, j.deadline)
 	j.latestStart = min(waitStartedAt+spare*maxWaitPercent/100, j.deadline)
+	if m.newlyStarted(now) {
+		j.latestStart = min(waitStartedAt+spare*startupMaxWaitPercent/100, j.deadline)
+		j.overloadLatestStart = j.latestStart
+	}
 	j.incompleteTasks, j.unplacedTasks = len(j.tasks), len(j.tasks)
 	j.summary = JobSummary{Queue: s.Queue, Tasks: len(j.tasks), Objective: objective, FirstRun: -1}
 	m.jobs[s.ID] = j
--- a/internal/request/scheduler/overload_test.go
+++ b/internal/request/scheduler/overload_test.go
@@ -102,15 +102,26 @@
 func (o *overload) submitAll(c *cluster, d time.Duration, share float64, needs map[string]int64) {
 	next := make([]time.Duration, len(o.classes))
 	rate := o.rate(share)
+	c.useLoadRandom()
 	for k := range next {
 		next[k] = c.now + c.interarrival(o.classes[k].rate*rate)
 	}
+	c.useLoadRandom()
 	for end := c.now + d; c.now < end; c.advance(tickStep) {
+		c.useLoadRandom()
 		for k := range o.classes {
 			for ; next[k] <= c.now; next[k] += c.interarrival(o.classes[k].rate * rate) {
 				o.submitOne(c, c.entries[c.random.IntN(len(c.entries))], o.classes[k], needs)
 			}
 		}
+		c.useLoadRandom()
+	}
+}
+
+// useLoadRandom exchanges the sources of randomness of the cluster and of its load.
+func (c *cluster) useLoadRandom() {
+	if c.loadRandom != nil {
+		c.random, c.loadRandom = c.loadRandom, c.random
 	}
 }
 
