--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -24,6 +24,9 @@
 	// costMaxWaitPercent is maxWaitPercent in the order "cost". One entry at 1.3 times the capacity refuses 7% of the
 	// long class and 4% of the short class are late; with 25, it refuses 13%, and with 100, 8% are late.
 	costMaxWaitPercent = 40
+	// startupMaxWaitPercent replaces them while this process counts as newly started. Other entries start at the same
+	// time after a loss of power, and the jobs that arrived meanwhile are submitted at once.
+	startupMaxWaitPercent = 80
 	// defaultWait applies to submissions without a wait.
 	defaultWait = 30 * time.Second
 	// minRetryAfter and maxRetryAfter bound the retry delay suggested for rejected jobs.
@@ -75,6 +78,10 @@
 	crashReported   bool // a worker crash under the active run was reported
 	done            bool
 	stragglers      uint // runs stopped as stragglers
+	countedLong     bool // the active run was counted in longTasks.spent
+	// stoppedAfter is the time, normalised to mean speed, after which the last straggler was stopped because it exceeded
+	// the median of its peers; zero if the outcome is recorded in longTasks.
+	stoppedAfter time.Duration
 	// avoidAgent is the last agent on which a run failed, was lost or was stopped, for example as a straggler, or
 	// that refused a run with run.Unfit, run.Unhealthy or run.Conflict. It is not reset by later runs elsewhere.
 	avoidAgent *agent
@@ -90,10 +97,11 @@
 
 // queueStats holds the statistics of a queue.
 type queueStats struct {
-	throughput   throughput
-	runTimeRatio runTimeRatio
-	failureRate  health.FailureRate
-	traffic      trafficCounter
+	throughput         throughput
+	waitsForSpeedUntil time.Duration // waitForSpeedMemory after a task last waited for a faster worker
+	runTimeRatio       runTimeRatio
+	failureRate        health.FailureRate
+	traffic            trafficCounter
 }
 
 func (m *Machine) statsOf(queue string) *queueStats {
@@ -135,6 +143,10 @@
 	spare := max(objective-requestOverhead-optimisticRunTime(longest), s.Slack/2)
 	j.overloadLatestStart = min(waitStartedAt+spare*overloadMaxWaitPercent/100, j.deadline)
 	j.latestStart = min(waitStartedAt+spare*maxWaitPercent/100, j.deadline)
+	if m.newlyStarted(now) {
+		j.latestStart = min(waitStartedAt+spare*startupMaxWaitPercent/100, j.deadline)
+		j.overloadLatestStart = j.latestStart
+	}
 	j.incompleteTasks, j.unplacedTasks = len(j.tasks), len(j.tasks)
 	j.summary = JobSummary{Queue: s.Queue, Tasks: len(j.tasks), Objective: objective, FirstRun: -1}
 	m.setCost(now, j, spare)
@@ -472,7 +484,9 @@
 		m.meanRunTime = runTime
 	}
 	m.meanRunTime += time.Duration(meanRunTimeWeight * float64(runTime-m.meanRunTime))
-	j.completedRunTimes = append(j.completedRunTimes, a.normalise(now, runTime))
+	normalised := a.normalise(now, runTime)
+	m.recordDone(t, normalised)
+	j.completedRunTimes = append(j.completedRunTimes, normalised)
 	q.runTimeRatio.observe(now, &a.speed, runTime, t.declaredRunTime())
 	if j.incompleteTasks == 0 && !j.hasVerdict {
 		m.setVerdict(now, j, Completed, nil)
--- a/internal/request/scheduler/order.go
+++ b/internal/request/scheduler/order.go
@@ -50,9 +50,13 @@
 	s := j.submission
 	work := m.waitingWork(j)
 	m.cost.classes.Arrived(now, s.Queue, work)
+	maxWait := time.Duration(costMaxWaitPercent)
+	if m.newlyStarted(now) {
+		maxWait = startupMaxWaitPercent
+	}
 	j.cost = shedding.Job{
 		Priority: s.Priority, Standing: m.cost.classes.Standing(now, s.Queue), Arrived: j.waitStartedAt,
-		Objective: j.summary.Objective, LatestStart: min(j.waitStartedAt+spare*costMaxWaitPercent/100, j.deadline), Sequence: j.arrival,
+		Objective: j.summary.Objective, LatestStart: min(j.waitStartedAt+spare*maxWait/100, j.deadline), Sequence: j.arrival,
 	}
 	// From then on the job is overdue.
 	j.latestStart, j.overloadLatestStart = j.cost.LatestStart+1, j.cost.LatestStart+1
@@ -141,11 +145,12 @@
 	}
 }
 
-// decideByCost returns the decision on an arriving job.
+// decideByCost returns the decision on an arriving job. The rate of a newly started process covers the time before the
+// first runs have freed their capacity, and is too low.
 func (m *Machine) decideByCost(now time.Duration, j *jobState) shedding.Decision {
 	service := j.submission.Service
 	rate := m.cost.rate(service).PerTime()
-	if rate <= 0 {
+	if rate <= 0 || m.newlyStarted(now) {
 		return shedding.Decision{Priority: j.cost.Priority}
 	}
 	j.cost.Work = m.waitingWork(j)
