cancellation: an entry starts until it has asked a listed entry

Cause: four of twelve entries had an empty list of entries in their first configuration after a power loss, counted as started, and asked again when sessions were open; the others waited for the answers of all, up to 240 ms. Change: an entry counts as starting until a question to a listed entry has been concluded.

--- a/internal/request/cancellation/machine.go
+++ b/internal/request/cancellation/machine.go
@@ -178,7 +178,7 @@
 	departed map[string]time.Duration // ids of entries that were listed, with the time until which they may have jobs
 	peers    map[wire.Claimant]bool
 	earlier  map[string]bool // connected entries of an earlier release, by id
-	starting bool            // no question has been answered yet
+	starting bool            // no question to a listed entry has been concluded yet
 	question *question       // nil: open
 	round    uint64
 	pending  []*pending // in order of their deadlines
@@ -494,5 +494,5 @@
 	m.question = nil
 	m.emit(StopCancelled{})
 	m.emit(Opened{Complete: complete && q.gap <= maxGap, Starting: m.starting, Answers: answers})
-	m.starting = false
+	m.starting = m.starting && len(voters) == 0 // a first configuration may list no other entry yet
 }
