cancellation: count the answers of entries that have concluded their start

Change: only an answer of an entry that has stalled or was cut off makes a starting entry wait for more than a majority.

--- a/internal/request/cancellation/machine.go
+++ b/internal/request/cancellation/machine.go
@@ -155,8 +155,8 @@
 	deadline time.Duration
 	gap      time.Duration
 	answered map[string]bool // by the id of the entry; false if it was asking itself
-	// othersStart is set while every answer came from an entry that has just started.
-	othersStart bool
+	// stalled is set if an answer came from an entry that was asking because it had stalled or was cut off.
+	stalled bool
 }
 
 // Stats holds the counters of a machine.
@@ -361,7 +361,7 @@
 	case *wire.CancellationAnswer:
 		if q := m.question; q != nil && q.round == message.Round {
 			q.answered[e.From.EntryID] = !message.Asking
-			q.othersStart = q.othersStart && message.Starting
+			q.stalled = q.stalled || message.Asking && !message.Starting
 		}
 	}
 }
@@ -458,7 +458,7 @@
 	}
 	m.stats.Questions++
 	m.round++
-	m.question = &question{round: m.round, deadline: now + askTimeout, gap: gap, answered: map[string]bool{}, othersStart: true}
+	m.question = &question{round: m.round, deadline: now + askTimeout, gap: gap, answered: map[string]bool{}}
 	for _, peer := range m.sortedPeers() {
 		m.emit(Send{To: peer, Message: &wire.CancellationQuery{Round: m.round}})
 	}
@@ -466,8 +466,8 @@
 
 // concludeQuestion opens the entry once the answers suffice, or askTimeout has passed. Answers of entries that are
 // asking themselves suffice if every other entry has answered: then nobody knows more. After a start of all entries, the
-// answers of a majority that has just started are enough for an entry that starts itself: it has no earlier jobs, and it
-// asks each further entry when their session opens. Waiting for the last of twelve entries held their first jobs for up to 260 ms.
+// answers of a majority are enough for an entry that starts itself, unless one of them has stalled: it has no earlier
+// jobs, and it asks each further entry when their session opens. Waiting for the last of twelve entries held their first jobs for up to 260 ms.
 func (m *Machine) concludeQuestion(now time.Duration) {
 	q := m.question
 	if q == nil {
@@ -484,7 +484,7 @@
 		}
 	}
 	enough := majority(len(voters))
-	complete := authoritative+1 >= enough || answers == len(voters) || m.starting && q.othersStart && answers+1 >= enough
+	complete := authoritative+1 >= enough || answers == len(voters) || m.starting && !q.stalled && answers+1 >= enough
 	if !complete && now < q.deadline {
 		return
 	}
