--- a/internal/request/scheduler/straggler.go
+++ b/internal/request/scheduler/straggler.go
@@ -20,8 +20,7 @@
 	// scheduling delays.
 	stragglerMargin = 40 * time.Millisecond
 	// longTaskPercent replaces stragglerPercent while stopped stragglers turn out to be long tasks (see longTasks). It
-	// exceeds the seven times the run time of their peers that such tasks take in the known installations, and still
-	// ends hung runs.
+	// exceeds the run time of tasks that take seven times as long as their peers, and still ends hung runs.
 	longTaskPercent = 1000
 	// longTaskWeight is the weight of the newest outcome in longTasks.share, and maxLongTaskShare the share from which
 	// stragglers are not stopped at stragglerPercent: four long tasks in a row after a start.
