httpapi: send the body of large responses that was set as it is

Cause: a response over 64 KiB whose handler had set the body with SetBodyRaw was sent without its body, since SwapBody does not return such a body. Change: the body is read with Body and set again. Result: TestLargeResponses failed for such bodies and passes; a control member answers the read of 75,663 bytes with all of them.

--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -138,10 +138,11 @@
 func (s *Server) finish(ctx *fasthttp.RequestCtx, c *guardedConn) {
 	large := 0
 	if !ctx.Response.IsBodyStream() {
-		if large = len(ctx.Response.Body()); large <= largeResponseBytes {
-			large = 0
-		} else {
-			ctx.Response.SetBodyRaw(ctx.Response.SwapBody(nil)) // the connection does not keep the buffer
+		if body := ctx.Response.Body(); len(body) > largeResponseBytes {
+			large = len(body)
+			// The connection does not keep the buffer. SwapBody does not return a body that was set with SetBodyRaw.
+			ctx.Response.SwapBody(nil)
+			ctx.Response.SetBodyRaw(body)
 		}
 	}
 	g := s.guard
