tools/bound: loads beside the tool

Cause: a test checks every INI file in the folders of examples but profiles as settings, so the loads in examples/loads failed it. Change: the loads are in tools/bound/loads.

--- a/tools/bound/main.go
+++ b/tools/bound/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	app := kingpin.New("bound", "Compute the share of jobs that could meet their objective, by processor time.")
-	paths := app.Arg("load", "INI file with classes, workers and phases; see examples/loads.").Required().ExistingFiles()
+	paths := app.Arg("load", "INI file with classes, workers and phases; see tools/bound/loads.").Required().ExistingFiles()
 	window := app.Flag("window", "Length of the windows of which the two worst are reported.").Default("2s").Duration()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fail(err)
