--- a/internal/testutil/crowd/crowd.go
+++ b/internal/testutil/crowd/crowd.go
@@ -46,6 +46,8 @@
 	Address   string
 	Path      string // a path at which the listener accepts a POST with a body
 	BodyBytes int    // size of the bodies
+	Method    string // used instead of POST by the kinds of MixedKinds; empty: POST
+	Host      string // the same for the header Host; empty: another one
 }
 
 // Crowd is a number of connections that are held open.
