--- a/internal/testutil/crowd/mixed.go
+++ b/internal/testutil/crowd/mixed.go
@@ -24,6 +24,13 @@
 	ManyKeys         Kind = "many-keys"         // each sends objects with many keys
 )
 
+// Kinds that HeaderKinds returns. All send headers within the limit of their size.
+const (
+	ManyHeaders   Kind = "many-headers"   // each sends as many headers as fit
+	LongHeaders   Kind = "long-headers"   // each sends a long header, after one more short one in each request
+	LongAddresses Kind = "long-addresses" // each sends a long path of characters that are escaped in texts
+)
+
 const (
 	// MemoryLimit is the memory_limit of the daemons that are tested with several kinds at once: the least value of the key.
 	MemoryLimit = 64 << 20
@@ -34,6 +41,8 @@
 	maxRequests    = 500
 	smallBodyBytes = 8000
 	textBodyBytes  = 200_000
+	headerBytes    = 15_000
+	longHeaders    = 60 // requests of one connection with a long header
 )
 
 // MixedKinds returns the kinds that are played at the same time.
@@ -41,6 +50,9 @@
 	return []Kind{IncompleteBodies, ManyValues, InvalidRequests, LargestBodies, TinyChunks, EscapedTexts, ManyKeys}
 }
 
+// HeaderKinds returns the kinds of clients whose headers take more memory than their size.
+func HeaderKinds() []Kind { return []Kind{ManyHeaders, LongHeaders, LongAddresses} }
+
 // OpenAtOnce opens connectionsPerKind connections of each kind at the same time. See Open.
 func OpenAtOnce(kinds []Kind, target Target) *Crowd {
 	c := &Crowd{}
@@ -110,6 +122,16 @@
 		}
 		body.WriteString("}")
 		return complete(body.String()), complete(body.String())
+	case ManyHeaders:
+		return fmt.Appendf(nil, "%sContent-Length: 2\r\n%s\r\n{", headers, strings.Repeat("a:b\r\n", headerBytes/5)), nil
+	case LongHeaders:
+		for k := range longHeaders {
+			next = fmt.Appendf(next, "%sContent-Length: 2\r\n%sa:%s\r\n\r\n{}", headers, strings.Repeat("a:b\r\n", k), strings.Repeat("c", headerBytes))
+		}
+		return next, nil
+	case LongAddresses:
+		request := fmt.Appendf(nil, "GET /%s HTTP/1.1\r\nHost: %s\r\n\r\n", strings.Repeat(`"`, headerBytes), host)
+		return request, request
 	}
 	panic("unknown kind " + kind)
 }
