--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,14 @@
 	$(GO) tool staticcheck ./...
 	$(GO) run ./tools/importcheck
 
+# Tests that measure the memory of daemons under crowds of clients; each runs alone, after all others.
+CROWD_TESTS := TestClientsThatIgnoreLimits TestCrowdsOfSeveralKinds
+
 test: ## run all tests with the race detector
-	$(GO) test -race -count=1 -timeout 15m $(shell ./tools/known-red skip-flag) ./...
+	$(GO) test -race -count=1 -timeout 15m $(shell ./tools/known-red skip-flag $(CROWD_TESTS)) ./...
+	for name in $(CROWD_TESTS); do \
+		$(GO) test -race -count=1 -timeout 15m -p 1 -run "^$$name\$$" $(shell ./tools/known-red skip-flag) ./internal/system ./platform || exit 1; \
+	done
 
 clean: ## remove build output
 	rm -rf $(BIN) out
