--- a/internal/connection/budget/budget.go
+++ b/internal/connection/budget/budget.go
@@ -49,8 +49,9 @@
 
 // Config holds the limits of the bytes of a process.
 type Config struct {
-	Bytes         int // of the bodies of requests and large responses
+	Bytes         int // of the bodies of requests, their decoded values and large responses
 	ReservedBytes int // of Bytes, for the class Reserved only
+	ReceiveBytes  int // size of the receive buffer of each connection; 0: the default of the system
 }
 
 // state is the state of a connection.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -61,10 +60,6 @@
 // has no deadline, so that work in flight is completed.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.stalls.Observe(clock.SinceBoot()) // before the first request can arrive
-	listener, err := net.Listen("tcp", d.Listen)
-	if err != nil {
-		return failure.New(failure.Unavailable, "choose another address in listen or stop the process that uses it", "cannot listen on %s: %v", d.Listen, err)
-	}
 	server, err := d.Guard.NewServer(httpapi.ServerConfig{
 		Name: "listen", ServerName: "pollenpaddle", Limits: d.Limits.Own, BodyBytes: d.MaxBodyBytes,
 		HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
@@ -73,6 +68,10 @@
 	if err != nil {
 		return err
 	}
+	listener, err := server.Listen(d.Listen)
+	if err != nil {
+		return failure.New(failure.Unavailable, "choose another address in listen or stop the process that uses it", "cannot listen on %s: %v", d.Listen, err)
+	}
 	roleCtx, stopRoles := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRoles()
 	group, roleCtx := errgroup.WithContext(roleCtx)
--- a/internal/process/daemon/limits.go
+++ b/internal/process/daemon/limits.go
@@ -21,22 +21,19 @@
 	reservedBytes = 8 << 20
 	// decodingBytes is what a body of the largest size needs in addition when it is decoded.
 	decodingBytes = 2 << 20
-	// memoryShare divides the memory of the process: the part of it that requests may hold. The heap grows to twice what
-	// is live before it is collected.
-	memoryShare = 8
 	// maxDerivedBytes bounds the derived size, because a request waits for its bytes while others are read: more would be
 	// used by clients that ignore limits only. It holds two configurations, or a body of the largest size and one.
 	maxDerivedBytes = 18 << 20
-	// memoryPerConnection is the memory divided by the number of connections of callers. A connection takes some 40 KB: 16
-	// KiB to read, 4 KiB to write, 8 KiB of body, stack and state. So all of them take a third of the memory at most.
-	memoryPerConnection = 128 << 10
+	// memoryShare divides the memory of the process: the part of it that requests may hold.
+	memoryShare = 8
 	// callerShare divides the descriptors: the connections of callers. Three eighths are for the address listen, with the
 	// sessions; at least a quarter is left for sessions that this process opens, for workers and for files.
 	callerShare = 4
-	// smallShare divides the descriptors: the connections of each listener with few clients (operators, readiness,
-	// workers), within minSmall and maxSmall.
-	smallShare, minSmall, maxSmall = 16, 8, 64
-	minConnections                 = 16
+	// smallShare divides the descriptors, and smallMemoryShare the connections for which the memory has room: the connections
+	// of each listener with few clients (operators, readiness, workers), within minSmall and maxSmall.
+	smallShare, smallMemoryShare, minSmall, maxSmall = 16, 32, 8, 64
+	smallListeners                                   = 3
+	minConnections                                   = 16
 	// minMemoryBytes is assumed if the system reports less or nothing.
 	minMemoryBytes = 64 << 20
 )
@@ -44,6 +41,7 @@
 // Limits are the limits on the HTTP clients of a process.
 type Limits struct {
 	Bytes              budget.Config
+	Shares             budget.Shares   // of the memory
 	Callers            budget.Listener // listeners of callers
 	Own                budget.Listener // the address listen, sessions included
 	Small              budget.Listener // listeners with few clients
@@ -57,11 +55,7 @@
 	if set.MemoryBytes > 0 {
 		memory = set.MemoryBytes
 	}
-	connections := int(max(minConnections, min(descriptors/callerShare, memory/memoryPerConnection)))
-	if set.Connections > 0 {
-		connections = set.Connections
-	}
-	small := int(min(max(descriptors/smallShare, minSmall), maxSmall))
+	memory = max(memory, minMemoryBytes)
 	needed := s.Entry.MaxBodyBytes + decodingBytes + reservedBytes
 	total := max(needed, int(min(memory/memoryShare, maxDerivedBytes)))
 	if set.RequestBytes > 0 {
@@ -71,16 +65,28 @@
 		return Limits{}, failure.New(failure.InvalidArgument, "raise request_bytes or lower max_body_bytes",
 			"section [process], key request_bytes: %d bytes do not hold a body of max_body_bytes and the reserve; at least %d are needed", total, needed)
 	}
-	if open := int64(connections + connections*3/2 + 2*small); open > descriptors {
+	room := budget.MaxConnections(memory, int64(total)) // for the connections of all listeners
+	small := min(max(min(int(descriptors/smallShare), room/smallMemoryShare), minSmall), maxSmall)
+	connections := max(minConnections, min(int(descriptors/callerShare), (room-smallListeners*small)*2/5))
+	if set.Connections > 0 {
+		connections = set.Connections
+	}
+	open := connections + connections*3/2 + smallListeners*small
+	if int64(open) > descriptors {
 		return Limits{}, failure.New(failure.InvalidArgument, "lower max_connections or raise the limit on descriptors",
 			"section [process], key max_connections: %d connections of callers need %d descriptors, the process has %d", connections, open, descriptors)
 	}
+	shares, err := budget.Divide(memory, int64(total), open)
+	if err != nil {
+		return Limits{}, failure.New(failure.InvalidArgument, "raise memory_limit, or lower max_connections, request_bytes or max_body_bytes",
+			"section [process], key memory_limit: %v", err)
+	}
 	listener := func(n int) budget.Listener {
 		return budget.Listener{Connections: n, ConnectionsPerAddress: set.ConnectionsPerAddress}
 	}
 	return Limits{
-		Bytes:   budget.Config{Bytes: total, ReservedBytes: reservedBytes},
-		Callers: listener(connections), Own: listener(connections * 3 / 2), Small: listener(small),
+		Bytes:  budget.Config{Bytes: total, ReservedBytes: reservedBytes, ReceiveBytes: shares.ReceiveBytes},
+		Shares: shares, Callers: listener(connections), Own: listener(connections * 3 / 2), Small: listener(small),
 		HeaderTimeout: set.HeaderTimeout, CallersIdleTimeout: s.Adapter.CallersIdleTimeout,
 	}, nil
 }
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"io"
 	"net"
 	"runtime"
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"pollenpaddle/internal/connection/budget"
 	"pollenpaddle/internal/process/logging"
@@ -61,6 +63,8 @@
 	reports reports
 	refused *prometheus.CounterVec
 	started time.Time
+	// receiveBytes is the size of the receive buffer of each connection; 0: the default of the system.
+	receiveBytes int
 
 	mu          sync.Mutex // guards the following, and the field waiter of the connections
 	budget      *budget.Budget
@@ -76,7 +80,7 @@
 		return nil, err
 	}
 	g := &Guard{
-		logger: logger, started: time.Now(), budget: b, connections: map[budget.ID]*guardedConn{},
+		logger: logger, started: time.Now(), receiveBytes: config.ReceiveBytes, budget: b, connections: map[budget.ID]*guardedConn{},
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollenpaddle_http_refused_total", Help: "Requests and connections that a limit has refused or closed, by listener and cause.",
 		}, []string{"listener", "cause"}),
@@ -133,6 +137,47 @@
 	return s, nil
 }
 
+// Listen returns a listener at an address. Its connections have receive buffers of the size that the budget counts, from the
+// first byte on and also before they are accepted, where the system would let them grow to megabytes.
+func (s *Server) Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{}
+	if size := s.guard.receiveBytes; size > 0 {
+		config.Control = func(_, _ string, raw syscall.RawConn) error {
+			return control(raw, func(descriptor int) error {
+				// The system doubles the value to allow for its own overhead.
+				return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, size/2)
+			})
+		}
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := limitBacklog(listener, budget.Backlog(s.config.Limits.Connections)); err != nil {
+		return nil, errors.CombineErrors(err, listener.Close())
+	}
+	return listener, nil
+}
+
+// limitBacklog bounds the connections that wait to be accepted.
+func limitBacklog(listener net.Listener, connections int) error {
+	conn, ok := listener.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "get the descriptor of the listener")
+	}
+	return control(raw, func(descriptor int) error { return unix.Listen(descriptor, connections) })
+}
+
+func control(raw syscall.RawConn, operation func(descriptor int) error) error {
+	var err error
+	controlErr := raw.Control(func(descriptor uintptr) { err = operation(int(descriptor)) })
+	return errors.Wrap(errors.CombineErrors(controlErr, err), "set an option of the listener")
+}
+
 // Serve serves the connections of a listener until it is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	var guarded net.Listener = guardedListener{listener, s}
--- a/internal/testutil/crowd/mixed.go
+++ b/internal/testutil/crowd/mixed.go
@@ -215,7 +215,7 @@
 	defer ticker.Stop()
 	for {
 		resident, descriptors, err := p.usage()
-		unread, unreadErr := unreadBytes(ports)
+		unread, unreadErr := UnreadBytes(ports)
 		if err == nil && unreadErr == nil {
 			peak = memoryPeak{max(peak.sum, resident+unread), max(peak.unread, unread), max(peak.descriptors, descriptors)}
 		}
@@ -227,8 +227,8 @@
 	}
 }
 
-// unreadBytes returns the bytes in the receive queues of the connections that were made to the ports, accepted or not.
-func unreadBytes(ports []string) (int, error) {
+// UnreadBytes returns the bytes in the receive queues of the connections that were made to the ports, accepted or not.
+func UnreadBytes(ports []string) (int, error) {
 	const listening = "0A"
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
