--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -60,6 +60,7 @@
 // has no deadline, so that work in flight is completed.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.stalls.Observe(clock.SinceBoot()) // before the first request can arrive
+	limitRuntimeMemory(d.Limits.Shares.Runtime)
 	server, err := d.Guard.NewServer(httpapi.ServerConfig{
 		Name: "listen", ServerName: "pollenpaddle", Limits: d.Limits.Own, BodyBytes: d.MaxBodyBytes,
 		HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
--- a/internal/process/daemon/limits.go
+++ b/internal/process/daemon/limits.go
@@ -91,6 +91,14 @@
 	}, nil
 }
 
+// limitRuntimeMemory makes the Go runtime collect garbage before it maps more than n bytes, unless its limit is lower already.
+// The heap would else grow to twice what is in use, whatever the memory of the machine.
+func limitRuntimeMemory(n int64) {
+	if n < debug.SetMemoryLimit(-1) { // a negative limit only returns the current one
+		debug.SetMemoryLimit(n)
+	}
+}
+
 // descriptorLimit returns the limit on open descriptors of this process.
 func descriptorLimit() int64 {
 	var limit unix.Rlimit
