--- a/internal/connection/budget/shares.go
+++ b/internal/connection/budget/shares.go
@@ -6,10 +6,10 @@
 	// programBytes is the resident memory of the program's code and data, and of its threads.
 	programBytes = 24 << 20
 	// stateShare divides the memory: the state of the roles, which requests leave behind, with minStateBytes at least.
-	stateShare    = 10
+	stateShare    = 12
 	minStateBytes = 6 << 20
 	// connectionBytes is the memory of one connection: 16 KiB to read, 4 KiB to write, 8 KiB of body, and stack and state.
-	connectionBytes = 40 << 10
+	connectionBytes = 36 << 10
 	// liveParts of runtimeParts of the memory of the Go runtime may be in use after a collection. The rest is for objects that
 	// are not collected yet; with less, the collector runs all the time.
 	liveParts, runtimeParts = 4, 5
--- a/internal/process/daemon/assemble.go
+++ b/internal/process/daemon/assemble.go
@@ -53,7 +53,7 @@
 		}
 	}
 	d := &Daemon{
-		ID: s.Process.ID, Listen: s.Process.Listen, MaxBodyBytes: s.Entry.MaxBodyBytes, Logger: logger,
+		ID: s.Process.ID, Listen: s.Process.Listen, Logger: logger,
 		Registry: prometheus.NewRegistry(), Roles: map[string]Role{}, Tokens: tokens, LoopbackOnly: loopbackOnly,
 	}
 	d.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -25,13 +25,12 @@
 
 // Daemon is one process of an installation.
 type Daemon struct {
-	ID           string
-	Listen       string
-	MaxBodyBytes int // limit of an HTTP request body
-	Logger       *zap.Logger
-	Registry     *prometheus.Registry
-	Roles        map[string]Role
-	Adapters     []Adapter
+	ID       string
+	Listen   string
+	Logger   *zap.Logger
+	Registry *prometheus.Registry
+	Roles    map[string]Role
+	Adapters []Adapter
 	// DrainOrder lists the roles in the order in which they are drained.
 	DrainOrder []string
 	// Tokens authenticates the callers of the operator API.
@@ -62,7 +61,7 @@
 	d.stalls.Observe(clock.SinceBoot()) // before the first request can arrive
 	limitRuntimeMemory(d.Limits.Shares.Runtime)
 	server, err := d.Guard.NewServer(httpapi.ServerConfig{
-		Name: "listen", ServerName: "pollenpaddle", Limits: d.Limits.Own, BodyBytes: d.MaxBodyBytes,
+		Name: "listen", ServerName: "pollenpaddle", Limits: d.Limits.Own, BodyBytes: d.Limits.BodyBytes,
 		HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
 		Handler: httpapi.RecoverFaults(d.handler(), logging.LogFaults(d.Logger)), Class: classOf, WriteError: httpapi.WriteError,
 	})
--- a/internal/process/daemon/limits.go
+++ b/internal/process/daemon/limits.go
@@ -19,11 +19,14 @@
 const (
 	// reservedBytes is the part of the bytes that callers cannot use: a configuration of 4 MiB, and as much to decode it.
 	reservedBytes = 8 << 20
-	// decodingBytes is what a body of the largest size needs in addition when it is decoded.
+	// decodingBytes is what the values of a body of the largest size need when it is decoded, beside its texts.
 	decodingBytes = 2 << 20
+	// bodyShare divides the memory: the largest body.
+	bodyShare = 16
 	// maxDerivedBytes bounds the derived size, because a request waits for its bytes while others are read: more would be
-	// used by clients that ignore limits only. It holds two configurations, or a body of the largest size and one.
-	maxDerivedBytes = 18 << 20
+	// used by clients that ignore limits only. It holds a body of the largest size with its decoded texts and values, and a
+	// configuration.
+	maxDerivedBytes = 26 << 20
 	// memoryShare divides the memory of the process: the part of it that requests may hold.
 	memoryShare = 8
 	// callerShare divides the descriptors: the connections of callers. Three eighths are for the address listen, with the
@@ -40,6 +43,7 @@
 
 // Limits are the limits on the HTTP clients of a process.
 type Limits struct {
+	BodyBytes          int // of one request, at the address listen
 	Bytes              budget.Config
 	Shares             budget.Shares   // of the memory
 	Callers            budget.Listener // listeners of callers
@@ -56,14 +60,15 @@
 		memory = set.MemoryBytes
 	}
 	memory = max(memory, minMemoryBytes)
-	needed := s.Entry.MaxBodyBytes + decodingBytes + reservedBytes
+	body := int(min(int64(s.Entry.MaxBodyBytes), memory/bodyShare))
+	needed := 2*body + decodingBytes + reservedBytes
 	total := max(needed, int(min(memory/memoryShare, maxDerivedBytes)))
 	if set.RequestBytes > 0 {
 		total = set.RequestBytes
 	}
 	if total < needed {
 		return Limits{}, failure.New(failure.InvalidArgument, "raise request_bytes or lower max_body_bytes",
-			"section [process], key request_bytes: %d bytes do not hold a body of max_body_bytes and the reserve; at least %d are needed", total, needed)
+			"section [process], key request_bytes: %d bytes do not hold a body of max_body_bytes, its texts and the reserve; at least %d are needed", total, needed)
 	}
 	room := budget.MaxConnections(memory, int64(total)) // for the connections of all listeners
 	small := min(max(min(int(descriptors/smallShare), room/smallMemoryShare), minSmall), maxSmall)
@@ -85,7 +90,7 @@
 		return budget.Listener{Connections: n, ConnectionsPerAddress: set.ConnectionsPerAddress}
 	}
 	return Limits{
-		Bytes:  budget.Config{Bytes: total, ReservedBytes: reservedBytes, ReceiveBytes: shares.ReceiveBytes},
+		BodyBytes: body, Bytes: budget.Config{Bytes: total, ReservedBytes: reservedBytes, ReceiveBytes: shares.ReceiveBytes},
 		Shares: shares, Callers: listener(connections), Own: listener(connections * 3 / 2), Small: listener(small),
 		HeaderTimeout: set.HeaderTimeout, CallersIdleTimeout: s.Adapter.CallersIdleTimeout,
 	}, nil
--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -37,6 +37,8 @@
 	bytesPerObject = 220
 	// bytesPerValue is the same for any other value; a text has 16 bytes beside its characters.
 	bytesPerValue = 24
+	// freeDecodedBytes is the size up to which a decoded body needs no grant: a job of 110 tasks in one step takes 1 KB.
+	freeDecodedBytes = 24 << 10
 	// maxDecodedBytes bounds the memory of a decoded body beside its texts. A configuration of 5,000 routes takes 2.5 MB.
 	maxDecodedBytes = 8 << 20
 )
@@ -345,19 +347,17 @@
 	}
 }
 
-// ReserveDecoding obtains the memory that the values of a JSON body take when they are decoded, which may exceed the size
-// of the body many times. It returns an error if a body can take too much, or if the memory is not available now.
+// ReserveDecoding obtains the memory that the values and the texts of a JSON body take when they are decoded, which may exceed
+// the size of the body many times. It returns an error if the values can take too much, or if the memory is not available now.
 func ReserveDecoding(ctx *fasthttp.RequestCtx) error {
 	body := ctx.PostBody()
-	if len(body) <= prefetchedBytes {
-		return nil
-	}
 	n := DecodedBytes(body)
 	if n > maxDecodedBytes {
 		return failure.New(failure.TooLarge, "send fewer objects and values", "the request body may take %d bytes when it is decoded, the limit is %d; nothing was run", n, maxDecodedBytes)
 	}
+	n += len(body) // the texts
 	c := guardedBy(ctx.Conn())
-	if c == nil {
+	if c == nil || n <= freeDecodedBytes {
 		return nil
 	}
 	if !c.server.guard.grow(c, c.server.class(ctx), n) {
--- a/internal/process/httpapi/httpapi.go
+++ b/internal/process/httpapi/httpapi.go
@@ -3,9 +3,9 @@
 package httpapi
 
 import (
-	"bytes"
 	"encoding/json"
 	"math"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -95,19 +95,28 @@
 	ctx.SetBody(append(encoded, '\n'))
 }
 
+// maxQuotedBytes bounds what an error message repeats of a request.
+const maxQuotedBytes = 200
+
+func truncate(text string) string {
+	if len(text) > maxQuotedBytes {
+		return text[:maxQuotedBytes] + "..."
+	}
+	return text
+}
+
 // ReadJSON decodes the request body into target, rejects unknown fields and releases the body.
 func ReadJSON(ctx *fasthttp.RequestCtx, target any) error {
 	if err := ReserveDecoding(ctx); err != nil {
 		return err
 	}
 	defer ReleaseBody(ctx)
-	decoder := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
+	body := ctx.PostBody()
+	if err := json.Unmarshal(body, target); err != nil {
 		return failure.New(failure.InvalidArgument, "send one JSON object as described in docs/api.md", "cannot decode the request body: %v", err)
 	}
-	if decoder.More() {
-		return failure.New(failure.InvalidArgument, "send one JSON object as described in docs/api.md", "the request body contains more than one JSON value")
+	if field, found := unknownField(body, reflect.TypeOf(target)); found {
+		return failure.New(failure.InvalidArgument, "send one JSON object as described in docs/api.md", "cannot decode the request body: unknown field %q", truncate(field))
 	}
 	return nil
 }
