--- a/internal/connection/budget/shares.go
+++ b/internal/connection/budget/shares.go
@@ -6,13 +6,15 @@
 	// programBytes is the resident memory of the program's code and data, and of its threads.
 	programBytes = 24 << 20
 	// stateShare divides the memory: the state of the roles, which requests leave behind, with minStateBytes at least.
-	stateShare    = 12
+	stateShare    = 16
 	minStateBytes = 6 << 20
 	// connectionBytes is the memory of one connection: 16 KiB to read, 4 KiB to write, 8 KiB of body, and stack and state.
 	connectionBytes = 36 << 10
 	// liveParts of runtimeParts of the memory of the Go runtime may be in use after a collection. The rest is for objects that
 	// are not collected yet; with less, the collector runs all the time.
-	liveParts, runtimeParts = 4, 5
+	liveParts, runtimeParts = 3, 4
+	// overshootShare divides the memory of the runtime: by how much it exceeds its limit while large objects are allocated.
+	overshootShare = 16
 	// MinReceiveBytes and maxReceiveBytes bound the receive buffer of a connection. The most is enough for a gigabit a second
 	// over 2 ms.
 	MinReceiveBytes = 16 << 10
@@ -29,6 +31,7 @@
 	Program     int64 // code and data of the program
 	Runtime     int64 // all that the Go runtime maps
 	Unread      int64 // bytes that have arrived and are not read
+	Limit       int64 // of the Go runtime, which exceeds it for short times and then has Runtime
 	Live        int64 // part of Runtime that may be in use after a garbage collection
 	State       int64 // state of the roles
 	Bytes       int64 // bodies, their decoded values and large responses; see Config
@@ -69,6 +72,7 @@
 	s.ReceiveBytes = int(min(max(free/2/receiveBuffers(connections), MinReceiveBytes), maxReceiveBytes))
 	s.Unread = receiveBuffers(connections) * int64(s.ReceiveBytes)
 	s.Runtime = memory - s.Program - s.Unread
+	s.Limit = s.Runtime - s.Runtime/overshootShare
 	s.Live = s.Runtime * liveParts / runtimeParts
 	return s, nil
 }
--- a/internal/connection/budget/shares_test.go
+++ b/internal/connection/budget/shares_test.go
@@ -32,7 +32,7 @@
 			t.Fatal(err)
 		case s.Program+s.Runtime+s.Unread > memory:
 			t.Fatalf("the shares exceed the memory: %+v", s)
-		case s.State+s.Bytes+s.Connections > s.Live || s.Live >= s.Runtime:
+		case s.State+s.Bytes+s.Connections > s.Live || s.Live >= s.Limit || s.Limit >= s.Runtime:
 			t.Fatalf("the shares of the runtime exceed it: %+v", s)
 		case s.Bytes != bytes || s.State <= 0 || s.Connections/int64(connections) < 32<<10 || s.ReceiveBytes < budget.MinReceiveBytes:
 			t.Fatalf("a share has no room: %+v", s)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -59,7 +59,7 @@
 // has no deadline, so that work in flight is completed.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.stalls.Observe(clock.SinceBoot()) // before the first request can arrive
-	limitRuntimeMemory(d.Limits.Shares.Runtime)
+	limitRuntimeMemory(d.Limits.Shares.Limit)
 	server, err := d.Guard.NewServer(httpapi.ServerConfig{
 		Name: "listen", ServerName: "pollenpaddle", Limits: d.Limits.Own, BodyBytes: d.Limits.BodyBytes,
 		HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: responseTimeout,
--- a/internal/process/daemon/limits.go
+++ b/internal/process/daemon/limits.go
@@ -34,7 +34,7 @@
 	callerShare = 4
 	// smallShare divides the descriptors, and smallMemoryShare the connections for which the memory has room: the connections
 	// of each listener with few clients (operators, readiness, workers), within minSmall and maxSmall.
-	smallShare, smallMemoryShare, minSmall, maxSmall = 16, 32, 8, 64
+	smallShare, smallMemoryShare, minSmall, maxSmall = 16, 40, 8, 64
 	smallListeners                                   = 3
 	minConnections                                   = 16
 	// minMemoryBytes is assumed if the system reports less or nothing.
