--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -18,13 +18,6 @@
 	// prefetchedBytes is the part of a body that fasthttp reads before it calls the handler. Bodies up to this size need
 	// no grant: their buffers are part of what each connection costs, like those of its headers.
 	prefetchedBytes = 8 << 10
-	// grantTimeout is how long a request waits for its bytes before it is refused: longer than a sender that has stopped can
-	// keep them.
-	grantTimeout = rateWindow + time.Second
-	// rateWindow and windowBytes are the minimum rate of a body: a sender that sends less in one window loses its grant.
-	// Slower than a modem, and no sender that stops holds its bytes for longer than a window.
-	rateWindow  = 5 * time.Second
-	windowBytes = 32 << 10
 	// firstChunkBytes is the first grant of a chunked body, and chunkGrowth the factor by which it grows as the body arrives.
 	// The old and the new buffer count while the body is copied: a factor of 8 needs an eighth more than the largest body,
 	// which the budget has, where doubling would need half as much again.
@@ -192,7 +185,7 @@
 	waiter := make(chan bool, 1)
 	c.waiter = waiter
 	g.mu.Unlock()
-	timer := time.NewTimer(grantTimeout)
+	timer := time.NewTimer(budget.GrantTimeout)
 	defer timer.Stop()
 	select {
 	case granted := <-waiter:
@@ -237,15 +230,16 @@
 		}
 		return ctx.Request.CloseBodyStream()
 	}
-	reader := &rateReader{conn: ctx.Conn(), stream: stream}
+	c.rate = &budget.Rate{}
 	var body []byte
 	var err error
 	if length >= 0 {
 		body = make([]byte, length)
-		_, err = io.ReadFull(reader, body)
+		_, err = io.ReadFull(stream, body)
 	} else {
-		body, err = s.readChunks(reader, c, class)
+		body, err = s.readChunks(stream, c, class)
 	}
+	c.rate = nil
 	if err != nil {
 		s.guard.release(c)
 		return errIncompleteBody(err)
@@ -314,30 +308,6 @@
 	g.wake(g.budget.Shrink(c.id, class, n))
 }
 
-// rateReader reads a body and fails if it arrives below the minimum rate.
-type rateReader struct {
-	conn   net.Conn
-	stream io.Reader
-	window int // bytes since the deadline was set
-	armed  bool
-}
-
-func (r *rateReader) Read(p []byte) (int, error) {
-	if !r.armed || r.window >= windowBytes {
-		r.armed, r.window = true, 0
-		if err := r.conn.SetReadDeadline(time.Now().Add(rateWindow)); err != nil {
-			return 0, err
-		}
-	}
-	n, err := r.stream.Read(p)
-	r.window += n
-	var network net.Error
-	if errors.As(err, &network) && network.Timeout() {
-		err = errSlowBody
-	}
-	return n, err
-}
-
 // ReleaseBody drops the body of a request that was decoded, unless it is small, and ends its grant. A job that waits for
 // its response then holds none of the budget.
 func ReleaseBody(ctx *fasthttp.RequestCtx) {
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -300,9 +300,10 @@
 	server *Server
 	id     budget.ID
 	closed atomic.Bool
-	linger bool      // a part of a refused body may arrive still; used by the goroutine of the connection only
-	holds  bool      // bytes were granted; used by the goroutine of the connection only
-	waiter chan bool // receives whether the bytes that the connection waits for are granted; nil if it does not wait
+	linger bool         // a part of a refused body may arrive still; used by the goroutine of the connection only
+	holds  bool         // bytes were granted; used by the goroutine of the connection only
+	rate   *budget.Rate // of the body that is being read, nil if there is none; used by the goroutine of the connection only
+	waiter chan bool    // receives whether the bytes that the connection waits for are granted; nil if it does not wait
 }
 
 // guardedBy returns the guarded connection below conn, or nil.
@@ -323,6 +324,27 @@
 	return conn.SyscallConn()
 }
 
+// Read implements net.Conn. It returns errSlowBody if a body arrives below the minimum rate.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	if c.rate == nil {
+		return c.Conn.Read(p)
+	}
+	for {
+		start := time.Now()
+		if err := c.Conn.SetReadDeadline(start.Add(budget.MaxReadTime)); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if c.rate.Read(n, time.Since(start)) {
+			return n, errSlowBody
+		}
+		var network net.Error
+		if n > 0 || !errors.As(err, &network) || !network.Timeout() {
+			return n, err
+		}
+	}
+}
+
 // Close closes the connection and ends its grants.
 func (c *guardedConn) Close() error {
 	if c.closed.Swap(true) {
