--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -150,10 +150,10 @@
 	r := router.New()
 	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
-		httpapi.WriteError(ctx, failure.New(failure.NotFound, "see docs/api.md for the paths", "no such path: %s %s", ctx.Method(), ctx.Path()))
+		httpapi.WriteError(ctx, failure.New(failure.NotFound, "see docs/api.md for the paths", "no such path: %s %.200s", ctx.Method(), ctx.Path()))
 	}
 	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
-		httpapi.WriteError(ctx, failure.New(failure.InvalidArgument, "see docs/api.md for the methods of each path", "%s does not support the method %s", ctx.Path(), ctx.Method()))
+		httpapi.WriteError(ctx, failure.New(failure.InvalidArgument, "see docs/api.md for the methods of each path", "%.200s does not support the method %.20s", ctx.Path(), ctx.Method()))
 		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	}
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -23,8 +23,9 @@
 	// which the budget has, where doubling would need half as much again.
 	firstChunkBytes = 16 << 10
 	chunkGrowth     = 8
-	// largeResponseBytes is the size from which on a response counts in the budget while it is written.
-	largeResponseBytes = 64 << 10
+	// largeResponseBytes is the size from which on a response counts in the budget while it is written. Smaller ones use the
+	// memory that the request had.
+	largeResponseBytes = 8 << 10
 	// bytesPerObject is the memory that a JSON object or null takes at most when it is decoded into an element of a slice:
 	// a task or a step without fields has some 170 bytes, and slices grow by a quarter.
 	bytesPerObject = 220
@@ -55,19 +56,14 @@
 	return s.config.Class(ctx)
 }
 
-// headerReceived implements fasthttp.Server.HeaderReceived. It makes the server treat a request that announces too large a
-// body as one that expects 100-continue, so that expect refuses it before any of its body is read.
-func (s *Server) headerReceived(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if header.ContentLength() > s.config.BodyBytes {
-		header.Set(fasthttp.HeaderExpect, "100-continue")
-	}
-	return fasthttp.RequestConfig{}
-}
-
 // expect implements fasthttp.Server.ExpectHandler. It writes the response to a request that is refused.
 func (s *Server) expect(ctx *fasthttp.RequestCtx) int {
 	c := guardedBy(ctx.Conn())
-	if err := s.admitBody(ctx, c, s.class(ctx)); err != nil {
+	err := checkHeaders(&ctx.Request.Header)
+	if err == nil {
+		err = s.admitBody(ctx, c, s.class(ctx))
+	}
+	if err != nil {
 		s.refuse(ctx, c, err)
 		return ctx.Response.StatusCode()
 	}
@@ -93,6 +89,7 @@
 	default:
 		s.config.WriteError(ctx, failure.New(failure.InvalidArgument, "send a complete HTTP/1.1 request", "the request is incomplete or not valid HTTP/1.1; nothing was run"))
 	}
+	dropHeaders(ctx)
 }
 
 // refuse responds with err and ends the connection, of whose body a part may still arrive.
@@ -104,16 +101,26 @@
 	s.report(logging.RequestsRefused, cause)
 	ctx.SetConnectionClose()
 	s.config.WriteError(ctx, err)
-	if err == error(errSlowBody) {
+	switch err {
+	case error(errSlowBody):
 		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+	case error(errManyHeaders):
+		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case error(errLongAddress):
+		ctx.SetStatusCode(fasthttp.StatusRequestURITooLong)
 	}
+	dropHeaders(ctx)
 	c.linger = true
 }
 
 // handle reads the body of a request within the budget and carries the request out.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c, class := guardedBy(ctx.Conn()), s.class(ctx)
-	if err := s.readBody(ctx, c, class); err != nil {
+	err := s.admitHeaders(ctx, c, class)
+	if err == nil {
+		err = s.readBody(ctx, c, class)
+	}
+	if err != nil {
 		s.refuse(ctx, c, err)
 		return
 	}
@@ -147,6 +154,7 @@
 		g.budget.Session(g.now(), c.id)
 		return
 	}
+	dropHeaders(ctx)
 	g.budget.Writing(g.now(), c.id)
 	g.budget.Hold(c.id, large)
 }
@@ -162,13 +170,13 @@
 	case length <= prefetchedBytes:
 		return nil
 	}
-	if c.holds { // granted when the client expected 100-continue
+	if c.granted > 0 { // when the client expected 100-continue
 		return nil
 	}
 	if !s.guard.acquire(c, class, length) {
 		return errOverloaded(string(budget.NoBytes))
 	}
-	c.holds = true
+	c.class, c.granted = class, length
 	return nil
 }
 
@@ -202,15 +210,13 @@
 	return false
 }
 
-// release ends the grants of a connection.
+// release ends the grants for the body of a connection and its decoded values.
 func (g *Guard) release(c *guardedConn) {
-	if !c.holds {
-		return
+	n := c.granted
+	c.granted = 0
+	if n > 0 {
+		g.shrink(c, c.class, n)
 	}
-	c.holds = false
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.wake(g.budget.Release(c.id))
 }
 
 // readBody replaces the body stream of a request by the whole body.
@@ -283,6 +289,7 @@
 		}
 		grown := append(make([]byte, 0, size), body...)
 		s.guard.shrink(c, class, cap(body))
+		c.granted += size - cap(body)
 		body = grown
 	}
 }
@@ -311,7 +318,7 @@
 // ReleaseBody drops the body of a request that was decoded, unless it is small, and ends its grant. A job that waits for
 // its response then holds none of the budget.
 func ReleaseBody(ctx *fasthttp.RequestCtx) {
-	if c := guardedBy(ctx.Conn()); c != nil && c.holds {
+	if c := guardedBy(ctx.Conn()); c != nil && c.granted > 0 {
 		ctx.Request.ResetBody()
 		c.server.guard.release(c)
 	}
@@ -330,11 +337,12 @@
 	if c == nil || n <= freeDecodedBytes {
 		return nil
 	}
-	if !c.server.guard.grow(c, c.server.class(ctx), n) {
+	class := c.server.class(ctx)
+	if !c.server.guard.grow(c, class, n) {
 		c.server.report(logging.RequestsRefused, string(budget.NoBytes))
 		return errOverloaded(string(budget.NoBytes))
 	}
-	c.holds = true
+	c.class, c.granted = class, c.granted+n
 	return nil
 }
 
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -300,10 +300,13 @@
 	server *Server
 	id     budget.ID
 	closed atomic.Bool
-	linger bool         // a part of a refused body may arrive still; used by the goroutine of the connection only
-	holds  bool         // bytes were granted; used by the goroutine of the connection only
-	rate   *budget.Rate // of the body that is being read, nil if there is none; used by the goroutine of the connection only
-	waiter chan bool    // receives whether the bytes that the connection waits for are granted; nil if it does not wait
+	waiter chan bool // receives whether the bytes that the connection waits for are granted; nil if it does not wait
+
+	// The following are used by the goroutine of the connection only.
+	linger  bool         // a part of a refused body may arrive still
+	granted int          // bytes for the body of the request and its decoded values
+	class   budget.Class // of these bytes
+	rate    *budget.Rate // of the body that is being read; nil if there is none that needs a grant
 }
 
 // guardedBy returns the guarded connection below conn, or nil.
@@ -401,7 +404,7 @@
 		g.budget.Reading(g.now(), c.id)
 		return
 	}
-	c.holds = false
+	c.granted = 0
 	g.wake(g.budget.Idle(g.now(), c.id))
 	g.returnMemory()
 }
--- a/internal/process/httpapi/httpapi.go
+++ b/internal/process/httpapi/httpapi.go
@@ -95,16 +95,6 @@
 	ctx.SetBody(append(encoded, '\n'))
 }
 
-// maxQuotedBytes bounds what an error message repeats of a request.
-const maxQuotedBytes = 200
-
-func truncate(text string) string {
-	if len(text) > maxQuotedBytes {
-		return text[:maxQuotedBytes] + "..."
-	}
-	return text
-}
-
 // ReadJSON decodes the request body into target, rejects unknown fields and releases the body.
 func ReadJSON(ctx *fasthttp.RequestCtx, target any) error {
 	if err := ReserveDecoding(ctx); err != nil {
@@ -116,7 +106,7 @@
 		return failure.New(failure.InvalidArgument, "send one JSON object as described in docs/api.md", "cannot decode the request body: %v", err)
 	}
 	if field, found := unknownField(body, reflect.TypeOf(target)); found {
-		return failure.New(failure.InvalidArgument, "send one JSON object as described in docs/api.md", "cannot decode the request body: unknown field %q", truncate(field))
+		return failure.New(failure.InvalidArgument, "send one JSON object as described in docs/api.md", "cannot decode the request body: unknown field %.200q", field)
 	}
 	return nil
 }
