--- a/internal/connection/budget/budget.go
+++ b/internal/connection/budget/budget.go
@@ -52,6 +52,8 @@
 	Bytes         int // of the bodies of requests, their decoded values and large responses
 	ReservedBytes int // of Bytes, for the class Reserved only
 	ReceiveBytes  int // size of the receive buffer of each connection; 0: the default of the system
+	// LiveBytes is the memory of the Go runtime that may be in use after a garbage collection; 0: no bound.
+	LiveBytes int64
 }
 
 // state is the state of a connection.
@@ -117,6 +119,9 @@
 	lastID      ID
 	used        [classes]int
 	queues      [classes][]*request // requests for bytes that wait, the oldest first
+	seen        Observation
+	pressed     bool          // too much memory is in use
+	requested   time.Duration // time of the latest garbage collection that was observed or requested
 }
 
 // New returns an empty budget. It returns an error if a limit is not positive or the reserve is not smaller than the whole.
@@ -145,6 +150,7 @@
 	NoAddress    Cause = "address"     // the address has its maximum of connections
 	NoServing    Cause = "requests"    // the listener carries out its maximum of requests
 	NoBytes      Cause = "bytes"       // too many bytes of bodies or of responses that are not read
+	NoMemory     Cause = "memory"      // too much memory is in use
 	Closing      Cause = "closing"     // the connection is being closed
 )
 
@@ -262,6 +268,9 @@
 		return Closing
 	}
 	l := b.listeners[c.listener]
+	if class == Callers && b.pressed {
+		return NoMemory
+	}
 	if class == Callers && c.state != serving {
 		if l.lists[serving].count+l.lists[writing].count >= max(1, l.limits.Connections-l.limits.Connections/servingShare) {
 			return NoServing
--- a/internal/connection/budget/bytes.go
+++ b/internal/connection/budget/bytes.go
@@ -7,7 +7,7 @@
 
 // The replies.
 const (
-	Refused Grant = iota // more than the class can ever have, or the connection is being closed
+	Refused Grant = iota // more than the class can ever have, too much memory is in use, or the connection is being closed
 	Granted
 	Waiting // the connection is returned by the call that ends other grants, when it is its turn
 )
@@ -33,7 +33,7 @@
 // caller must not read them. A connection has at most one request that waits.
 func (b *Budget) Acquire(id ID, class Class, n int) Grant {
 	c := b.connections[id]
-	if c == nil || c.state == evicted || c.waiting != nil || n < 0 || n > b.limit(class) {
+	if c == nil || c.state == evicted || c.waiting != nil || n < 0 || n > b.limit(class) || class == Callers && b.pressed {
 		return Refused
 	}
 	if len(b.queues[class]) == 0 && b.fits(class, n) {
@@ -49,7 +49,7 @@
 // that wait for more while they hold bytes could wait for each other.
 func (b *Budget) Grow(id ID, class Class, n int) bool {
 	c := b.connections[id]
-	if c == nil || c.state == evicted || n < 0 || !b.fits(class, n) {
+	if c == nil || c.state == evicted || n < 0 || class == Callers && b.pressed || !b.fits(class, n) {
 		return false
 	}
 	b.grant(c, class, n)
--- /dev/null
+++ b/internal/connection/budget/memory.go
@@ -0,0 +1,62 @@
+package budget
+
+import "time"
+
+const (
+	// evictedShare divides the connections of a listener: how many are closed after a garbage collection that leaves too much
+	// in use.
+	evictedShare = 8
+	// collectionInterval is the time between two garbage collections that are requested while too much is in use, because a
+	// process that refuses requests may not start one for minutes.
+	collectionInterval = time.Second
+)
+
+// Observation is the memory of the Go runtime at one time.
+type Observation struct {
+	Collections uint64 // number of garbage collections so far
+	Live        int64  // bytes in use after the latest one, with the stacks
+}
+
+// Action is what the caller of Observe carries out.
+type Action struct {
+	Close   []ID // connections, which no longer count
+	Collect bool // start a garbage collection
+}
+
+// Observe compares the memory in use with Config.LiveBytes. It bounds what the other limits do not count, such as the state of
+// the roles. As long as too much is in use, no request of the class Callers is carried out and gets bytes, and each collection
+// closes some of the connections that Evict selects.
+func (b *Budget) Observe(now time.Duration, seen Observation) (action Action) {
+	if b.config.LiveBytes <= 0 {
+		return action
+	}
+	if seen.Collections != b.seen.Collections {
+		b.pressed = seen.Live > b.config.LiveBytes
+		b.requested = now // the time of the collection
+		if b.pressed {
+			action.Close = b.evictSome(now)
+		}
+	}
+	b.seen = seen
+	if b.pressed && now-b.requested >= collectionInterval {
+		b.requested = now
+		action.Collect = true
+	}
+	return action
+}
+
+// Pressed reports whether too much memory is in use.
+func (b *Budget) Pressed() bool { return b.pressed }
+
+func (b *Budget) evictSome(now time.Duration) (ids []ID) {
+	for index, l := range b.listeners {
+		for n := (l.connections() + evictedShare - 1) / evictedShare; n > 0; n-- {
+			id := b.Evict(now, index)
+			if id == 0 {
+				break
+			}
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/internal/process/daemon/limits.go
+++ b/internal/process/daemon/limits.go
@@ -90,7 +90,7 @@
 		return budget.Listener{Connections: n, ConnectionsPerAddress: set.ConnectionsPerAddress}
 	}
 	return Limits{
-		BodyBytes: body, Bytes: budget.Config{Bytes: total, ReservedBytes: reservedBytes, ReceiveBytes: shares.ReceiveBytes},
+		BodyBytes: body, Bytes: budget.Config{Bytes: total, ReservedBytes: reservedBytes, ReceiveBytes: shares.ReceiveBytes, LiveBytes: shares.Live},
 		Shares: shares, Callers: listener(connections), Own: listener(connections * 3 / 2), Small: listener(small),
 		HeaderTimeout: set.HeaderTimeout, CallersIdleTimeout: s.Adapter.CallersIdleTimeout,
 	}, nil
--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -126,6 +126,7 @@
 	}
 	g := s.guard
 	g.mu.Lock()
+	g.observeMemory()
 	refused := g.budget.Serve(g.now(), c.id, class)
 	g.mu.Unlock()
 	if refused != "" {
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,8 @@
 	grownBytes       = 8 << 20
 	// returnDelay is how long after that memory is returned: longer than fasthttp keeps an idle goroutine (10 s).
 	returnDelay = 15 * time.Second
+	// observationInterval is the least time between two observations of the memory in use.
+	observationInterval = 50 * time.Millisecond
 	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the response is not lost by a
 	// reset of the connection.
 	lingerTime  = 500 * time.Millisecond
@@ -70,7 +73,8 @@
 	budget      *budget.Budget
 	connections map[budget.ID]*guardedConn
 	servers     []*Server
-	grown       bool // many connections or bytes were in use since the memory was last returned
+	observed    time.Duration // when the memory in use was last observed
+	grown       bool          // many connections or bytes were in use since the memory was last returned
 }
 
 // NewGuard returns a guard without listeners.
@@ -198,6 +202,7 @@
 	CallerBytes   int            `json:"caller_bytes"`   // in use by requests of callers, and by large responses
 	ReservedBytes int            `json:"reserved_bytes"` // in use by other requests
 	Waiting       int            `json:"waiting"`        // requests that wait for bytes
+	Pressed       bool           `json:"memory_pressed"` // too much memory is in use
 	Listeners     []ListenerDump `json:"listeners"`
 }
 
@@ -207,6 +212,7 @@
 	defer g.mu.Unlock()
 	var d Dump
 	d.CallerBytes, d.ReservedBytes, d.Waiting = g.budget.Bytes()
+	d.Pressed = g.budget.Pressed()
 	for _, s := range g.servers {
 		d.Listeners = append(d.Listeners, ListenerDump{s.config.Name, g.budget.Usage(s.index)})
 	}
@@ -249,6 +255,7 @@
 	}
 	g := s.guard
 	g.mu.Lock()
+	g.observeMemory()
 	id, victimID, refused := g.budget.Open(g.now(), s.index, address)
 	victim := g.takeVictim(victimID)
 	var guarded *guardedConn
@@ -259,7 +266,7 @@
 	}
 	g.mu.Unlock()
 	if victim != nil {
-		s.closeVictim(victim)
+		victim.closeToMakeRoom("replaced")
 	}
 	if guarded == nil {
 		_ = conn.Close()
@@ -275,7 +282,7 @@
 	victim := g.takeVictim(g.budget.Evict(g.now(), s.index))
 	g.mu.Unlock()
 	if victim != nil {
-		s.closeVictim(victim)
+		victim.closeToMakeRoom("replaced")
 	}
 }
 
@@ -288,10 +295,32 @@
 	return victim
 }
 
-// closeVictim closes the socket of a connection. Its goroutine then fails to read, and removes it.
-func (s *Server) closeVictim(victim *guardedConn) {
-	_ = victim.Conn.Close()
-	s.report(logging.ConnectionsClosed, "replaced")
+// closeToMakeRoom closes the socket of a connection. Its goroutine then fails to read, and removes it.
+func (c *guardedConn) closeToMakeRoom(cause string) {
+	_ = c.Conn.Close()
+	c.server.report(logging.ConnectionsClosed, cause)
+}
+
+// observeMemory carries out what the memory in use requires, at most once in observationInterval. g.mu must be held.
+func (g *Guard) observeMemory() {
+	now := g.now()
+	if now-g.observed < observationInterval {
+		return
+	}
+	g.observed = now
+	samples := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}, {Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/heap/stacks:bytes"}}
+	metrics.Read(samples)
+	action := g.budget.Observe(now, budget.Observation{
+		Collections: samples[0].Value.Uint64(), Live: int64(samples[1].Value.Uint64() + samples[2].Value.Uint64()),
+	})
+	if action.Collect {
+		go runtime.GC()
+	}
+	for _, id := range action.Close {
+		if victim := g.takeVictim(id); victim != nil {
+			go victim.closeToMakeRoom(string(budget.NoMemory))
+		}
+	}
 }
 
 // guardedConn is a connection that counts in the budget until it is closed.
