--- a/internal/connection/budget/budget.go
+++ b/internal/connection/budget/budget.go
@@ -118,6 +118,7 @@
 	connections map[ID]*connection
 	lastID      ID
 	used        [classes]int
+	garbage     [classes]garbage    // what has ended and may not be collected yet
 	queues      [classes][]*request // requests for bytes that wait, the oldest first
 	seen        Observation
 	pressed     bool          // too much memory is in use
--- a/internal/connection/budget/bytes.go
+++ b/internal/connection/budget/bytes.go
@@ -20,13 +20,35 @@
 	return b.config.Bytes
 }
 
+// garbage is the number of bytes whose grants have ended, by the number of garbage collections since then. The collection
+// during which a grant ends may not find its bytes, so they count until the next one has ended.
+type garbage struct{ fresh, aged int }
+
+func (g garbage) sum() int { return g.fresh + g.aged }
+
 // fits reports whether n more bytes may be granted to a class now.
 func (b *Budget) fits(class Class, n int) bool {
 	total := 0
-	for _, used := range b.used {
-		total += used
+	for class, used := range b.used {
+		total += used + b.garbage[class].sum()
+	}
+	return total+n <= b.config.Bytes && (class != Callers || b.used[Callers]+b.garbage[Callers].sum()+n <= b.limit(Callers))
+}
+
+// Garbage returns the bytes whose grants have ended and which may not be collected yet.
+func (b *Budget) Garbage() int { return b.garbage[Callers].sum() + b.garbage[Reserved].sum() }
+
+// collected records the end of a number of garbage collections and returns the connections whose waiting requests are
+// granted now.
+func (b *Budget) collected(collections uint64) []ID {
+	for class := range b.garbage {
+		g := &b.garbage[class]
+		g.aged, g.fresh = g.fresh, 0
+		if collections > 1 {
+			g.aged = 0
+		}
 	}
-	return total+n <= b.config.Bytes && (class != Callers || b.used[Callers]+n <= b.limit(Callers))
+	return b.grantWaiting()
 }
 
 // Acquire requests n bytes, which are granted in the order of the requests of a class. Until the reply is Granted, the
@@ -45,6 +67,12 @@
 	return Waiting
 }
 
+// FitsWithoutGarbage reports whether n more bytes could be granted to a class if all garbage were collected.
+func (b *Budget) FitsWithoutGarbage(class Class, n int) bool {
+	used := b.used[Callers] + b.used[Reserved]
+	return used+n <= b.config.Bytes && (class != Callers || b.used[Callers]+n <= b.limit(Callers))
+}
+
 // Grow requests n bytes for a connection that already has some. It is granted at once or not at all, because connections
 // that wait for more while they hold bytes could wait for each other.
 func (b *Budget) Grow(id ID, class Class, n int) bool {
@@ -61,6 +89,13 @@
 	b.used[class] += n
 }
 
+// end ends the grant of n bytes.
+func (b *Budget) end(c *connection, class Class, n int) {
+	c.bytes[class] -= n
+	b.used[class] -= n
+	b.garbage[class].fresh += n
+}
+
 // Hold adds n bytes of a response that exists already. They may exceed the budget, which then grants nothing to others
 // until enough is released.
 func (b *Budget) Hold(id ID, n int) {
@@ -71,15 +106,14 @@
 	}
 }
 
-// Shrink ends the grant of n bytes of a connection and returns the connections whose waiting requests are granted now.
+// Shrink ends the grant of n bytes of a connection and returns the connections whose waiting requests are granted now. The
+// bytes are free again once they are collected; see Observe.
 func (b *Budget) Shrink(id ID, class Class, n int) []ID {
 	c := b.connections[id]
 	if c == nil || n <= 0 {
 		return nil
 	}
-	n = min(n, c.bytes[class])
-	c.bytes[class] -= n
-	b.used[class] -= n
+	b.end(c, class, min(n, c.bytes[class]))
 	return b.grantWaiting()
 }
 
@@ -95,8 +129,7 @@
 	c.held = 0
 	for class := range classes {
 		released = released || c.bytes[class] > 0
-		b.used[class] -= c.bytes[class]
-		c.bytes[class] = 0
+		b.end(c, class, c.bytes[class])
 	}
 	if !released {
 		return nil
--- a/internal/connection/budget/memory.go
+++ b/internal/connection/budget/memory.go
@@ -20,19 +20,19 @@
 // Action is what the caller of Observe carries out.
 type Action struct {
 	Close   []ID // connections, which no longer count
-	Collect bool // start a garbage collection
+	Granted []ID // connections whose waiting requests for bytes are granted now
+	Collect bool // start a garbage collection, and observe its end
 }
 
-// Observe compares the memory in use with Config.LiveBytes. It bounds what the other limits do not count, such as the state of
-// the roles. As long as too much is in use, no request of the class Callers is carried out and gets bytes, and each collection
-// closes some of the connections that Evict selects.
+// Observe records the end of garbage collections, after which the bytes of ended grants are free, and compares the memory in
+// use with Config.LiveBytes. That bounds what the other limits do not count, such as the state of the roles. As long as too
+// much is in use, no request of the class Callers is carried out and gets bytes, and each collection closes some of the
+// connections that Evict selects.
 func (b *Budget) Observe(now time.Duration, seen Observation) (action Action) {
-	if b.config.LiveBytes <= 0 {
-		return action
-	}
-	if seen.Collections != b.seen.Collections {
-		b.pressed = seen.Live > b.config.LiveBytes
+	if collections := seen.Collections - b.seen.Collections; collections > 0 {
 		b.requested = now // the time of the collection
+		action.Granted = b.collected(collections)
+		b.pressed = b.config.LiveBytes > 0 && seen.Live > b.config.LiveBytes
 		if b.pressed {
 			action.Close = b.evictSome(now)
 		}
@@ -45,6 +45,11 @@
 	return action
 }
 
+// WaitsForGarbage reports whether a request waits for bytes that a garbage collection may free.
+func (b *Budget) WaitsForGarbage() bool {
+	return len(b.queues[Callers])+len(b.queues[Reserved]) > 0 && b.Garbage() > 0
+}
+
 // Pressed reports whether too much memory is in use.
 func (b *Budget) Pressed() bool { return b.pressed }
 
--- a/internal/process/daemon/assemble.go
+++ b/internal/process/daemon/assemble.go
@@ -23,6 +23,7 @@
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/process/settings"
 	"pollenpaddle/internal/request/runner"
+	"pollenpaddle/internal/request/tracker"
 	"pollenpaddle/internal/version/replication"
 )
 
@@ -101,7 +102,8 @@
 			Identity: identity, Key: key, Seeds: s.Process.ControlMembers, Policy: s.Entry.Policy, OverloadOrder: s.Entry.OverloadOrder,
 			Limits:          job.Limits{Tasks: s.Entry.MaxTasks, BodyBytes: s.Entry.MaxBodyBytes},
 			ResultRetention: s.Entry.ResultRetention, ClaimRetention: s.Entry.ClaimRetention,
-			Tokens: tokens, Logger: d.Logger, Registerer: d.Registry, ClaimMinimumFolder: claimMinimumFolder(s),
+			MaxResultBytes: min(d.Limits.Shares.State, tracker.DefaultMaxFinishedBytes),
+			Tokens:         tokens, Logger: d.Logger, Registerer: d.Registry, ClaimMinimumFolder: claimMinimumFolder(s),
 		}))
 	}
 	if s.HasRole(wire.RoleAgent) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -62,6 +62,7 @@
 	Limits          job.Limits
 	MaxWait         time.Duration
 	ResultRetention time.Duration
+	MaxResultBytes  int64 // results that are kept; 0: tracker.DefaultMaxFinishedBytes
 	ClaimRetention  time.Duration
 	ClaimTimeout    time.Duration
 	Tokens          *auth.Tokens // nil: callers need no token
@@ -165,7 +166,7 @@
 		}),
 		claimant: claim.NewClaimant(claim.ClaimantConfig{Seed: config.Identity.Incarnation, Timeout: config.ClaimTimeout}),
 		tracker: tracker.New(tracker.Config{
-			ResultRetention: config.ResultRetention, ClaimRetention: config.ClaimRetention,
+			ResultRetention: config.ResultRetention, ClaimRetention: config.ClaimRetention, MaxFinishedBytes: config.MaxResultBytes,
 		}),
 		agents: map[dispatch.AgentID]*session.Session{}, peers: map[wire.Claimant]*session.Session{},
 		dialers: map[string]dialer{}, waiters: map[tracker.WaiterID]*waiter{}, peerQueries: map[peerQueryID]tracker.WaiterID{},
--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -23,6 +23,9 @@
 	// which the budget has, where doubling would need half as much again.
 	firstChunkBytes = 16 << 10
 	chunkGrowth     = 8
+	// maxCollections is the number of garbage collections after which all that had ended before is free: the first may have
+	// been in progress, and the second finds only what had ended when it began.
+	maxCollections = 3
 	// largeResponseBytes is the size from which on a response counts in the budget while it is written. Smaller ones use the
 	// memory that the request had.
 	largeResponseBytes = 8 << 10
@@ -193,6 +196,7 @@
 	}
 	waiter := make(chan bool, 1)
 	c.waiter = waiter
+	g.observeNow()
 	g.mu.Unlock()
 	timer := time.NewTimer(budget.GrantTimeout)
 	defer timer.Stop()
@@ -304,10 +308,17 @@
 	return nil
 }
 
+// grow obtains more bytes for a connection. If only garbage keeps them from it, the garbage is collected first.
 func (g *Guard) grow(c *guardedConn, class budget.Class, n int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget.Grow(c.id, class, n)
+	for collections := 0; ; collections++ {
+		g.mu.Lock()
+		granted, possible := g.budget.Grow(c.id, class, n), g.budget.FitsWithoutGarbage(class, n)
+		g.mu.Unlock()
+		if granted || !possible || collections == maxCollections {
+			return granted
+		}
+		g.collect()
+	}
 }
 
 func (g *Guard) shrink(c *guardedConn, class budget.Class, n int) {
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -74,6 +74,7 @@
 	connections map[budget.ID]*guardedConn
 	servers     []*Server
 	observed    time.Duration // when the memory in use was last observed
+	collection  chan struct{} // is closed when the garbage collection that was requested has ended; nil if there is none
 	grown       bool          // many connections or bytes were in use since the memory was last returned
 }
 
@@ -201,6 +202,7 @@
 type Dump struct {
 	CallerBytes   int            `json:"caller_bytes"`   // in use by requests of callers, and by large responses
 	ReservedBytes int            `json:"reserved_bytes"` // in use by other requests
+	GarbageBytes  int            `json:"garbage_bytes"`  // no longer in use, but not collected yet
 	Waiting       int            `json:"waiting"`        // requests that wait for bytes
 	Pressed       bool           `json:"memory_pressed"` // too much memory is in use
 	Listeners     []ListenerDump `json:"listeners"`
@@ -212,7 +214,7 @@
 	defer g.mu.Unlock()
 	var d Dump
 	d.CallerBytes, d.ReservedBytes, d.Waiting = g.budget.Bytes()
-	d.Pressed = g.budget.Pressed()
+	d.GarbageBytes, d.Pressed = g.budget.Garbage(), g.budget.Pressed()
 	for _, s := range g.servers {
 		d.Listeners = append(d.Listeners, ListenerDump{s.config.Name, g.budget.Usage(s.index)})
 	}
@@ -301,26 +303,49 @@
 	c.server.report(logging.ConnectionsClosed, cause)
 }
 
-// observeMemory carries out what the memory in use requires, at most once in observationInterval. g.mu must be held.
+// observeMemory observes the memory in use, at most once in observationInterval. g.mu must be held.
 func (g *Guard) observeMemory() {
-	now := g.now()
-	if now-g.observed < observationInterval {
-		return
+	if g.now()-g.observed >= observationInterval {
+		g.observeNow()
 	}
-	g.observed = now
+}
+
+// observeNow carries out what the memory in use requires. g.mu must be held.
+func (g *Guard) observeNow() {
+	g.observed = g.now()
 	samples := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}, {Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/heap/stacks:bytes"}}
 	metrics.Read(samples)
-	action := g.budget.Observe(now, budget.Observation{
+	action := g.budget.Observe(g.observed, budget.Observation{
 		Collections: samples[0].Value.Uint64(), Live: int64(samples[1].Value.Uint64() + samples[2].Value.Uint64()),
 	})
-	if action.Collect {
-		go runtime.GC()
-	}
+	g.wake(action.Granted)
 	for _, id := range action.Close {
 		if victim := g.takeVictim(id); victim != nil {
 			go victim.closeToMakeRoom(string(budget.NoMemory))
 		}
 	}
+	if action.Collect && g.collection == nil {
+		go g.collect()
+	}
+}
+
+// collect collects garbage and observes the result. If a collection is in progress already, it waits for the end of that.
+func (g *Guard) collect() {
+	g.mu.Lock()
+	if ended := g.collection; ended != nil {
+		g.mu.Unlock()
+		<-ended
+		return
+	}
+	ended := make(chan struct{})
+	g.collection = ended
+	g.mu.Unlock()
+	runtime.GC()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.collection = nil
+	close(ended)
+	g.observeNow() // may start another one
 }
 
 // guardedConn is a connection that counts in the budget until it is closed.
@@ -411,13 +436,17 @@
 	}
 }
 
-// wake ends the waits of the connections whose requests were granted. g.mu must be held.
+// wake ends the waits of the connections whose requests were granted, and has the garbage collected for which others wait.
+// g.mu must be held.
 func (g *Guard) wake(ids []budget.ID) {
 	for _, id := range ids {
 		if c := g.connections[id]; c != nil {
 			c.endWait(true)
 		}
 	}
+	if g.budget.WaitsForGarbage() && g.collection == nil {
+		go g.collect()
+	}
 }
 
 // stateChanged implements fasthttp.Server.ConnState.
