--- a/internal/testutil/crowd/mixed.go
+++ b/internal/testutil/crowd/mixed.go
@@ -261,3 +261,18 @@
 	}
 	return sum, nil
 }
+
+// PeakResidentBytes returns the highest resident memory that a process has had.
+func PeakResidentBytes(pid int) (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+			kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
+			return kilobytes << 10, err
+		}
+	}
+	return 0, fmt.Errorf("process %d has no VmHWM", pid)
+}
