--- a/internal/process/httpapi/guard_test.go
+++ b/internal/process/httpapi/guard_test.go
@@ -35,6 +35,10 @@
 }
 
 func startGuarded(t *testing.T, limits budget.Listener) *guarded {
+	return startGuardedWithTimeouts(t, limits, 0, time.Minute)
+}
+
+func startGuardedWithTimeouts(t *testing.T, limits budget.Listener, header, idle time.Duration) *guarded {
 	s := &guarded{t: t, expect: gomega.NewWithT(t), release: make(chan struct{})}
 	core, lines := observer.New(zap.InfoLevel)
 	s.lines = lines
@@ -42,7 +46,7 @@
 	s.guard, err = httpapi.NewGuard(budget.Config{Bytes: 200_000, ReservedBytes: 50_000, ReceiveBytes: budget.MinReceiveBytes}, zap.New(core), prometheus.NewRegistry())
 	s.expect.Expect(err).NotTo(gomega.HaveOccurred())
 	server, err := s.guard.NewServer(httpapi.ServerConfig{
-		Name: "test", Limits: limits, BodyBytes: testBodyBytes, IdleTimeout: time.Minute, WriteTimeout: time.Minute, Track: true,
+		Name: "test", Limits: limits, BodyBytes: testBodyBytes, HeaderTimeout: header, IdleTimeout: idle, WriteTimeout: time.Minute, Track: true,
 		Class: func(*fasthttp.RequestCtx) budget.Class { return budget.Callers }, WriteError: httpapi.WriteError,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if string(ctx.Path()) == "/wait" {
@@ -220,6 +224,59 @@
 	s.expect.Expect(status).To(gomega.Equal(http.StatusOK))
 }
 
+// Guards against clients that keep a connection by stopping within a request or between two.
+func TestTimeoutsOfRequests(t *testing.T) {
+	s := startGuardedWithTimeouts(t, budget.Listener{Connections: 8}, 200*time.Millisecond, 300*time.Millisecond)
+	for name, sent := range map[string]string{
+		"in the request line":   "POST /",
+		"in the headers":        "POST / HTTP/1.1\r\nHost: h\r\nX-Fill: ",
+		"in a small body":       "POST / HTTP/1.1\r\nHost: h\r\n" + length(10) + "\r\nxxx",
+		"in the expected body":  "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n" + length(10) + "\r\n",
+		"in a small first part": "POST / HTTP/1.1\r\nHost: h\r\n" + length(50_000) + "\r\nxxx",
+	} {
+		c := s.dial()
+		_, err := io.WriteString(c, sent)
+		s.expect.Expect(err).NotTo(gomega.HaveOccurred())
+		status, body := c.receive()
+		if status == http.StatusContinue {
+			status, body = c.receive()
+		}
+		s.expect.Expect(status).To(gomega.Equal(http.StatusRequestTimeout), name+body)
+		status, _ = c.receive()
+		s.expect.Expect(status).To(gomega.BeZero(), name) // closed
+	}
+	idle := s.dial()
+	status, _ := idle.send("/", length(1), "x").receive()
+	s.expect.Expect(status).To(gomega.Equal(http.StatusOK))
+	status, _ = idle.receive()
+	s.expect.Expect(status).To(gomega.BeZero())
+	s.expect.Eventually(func() int { return s.guard.Dump().Listeners[0].Idle }).Should(gomega.BeZero())
+	s.expectNothingHeld()
+}
+
+// Guards against what a client sends that ends the server, keeps it from answering others, or leaves bytes granted.
+func FuzzRequests(f *testing.F) {
+	for _, seed := range []string{
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxxx", "POST /json HTTP/1.1\r\nHost: h\r\n" + chunked + "\r\n4\r\n[{}]\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), "GET / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n", "GET * HTTP/1.0\r\n\r\n\x00\x16\x03",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		s := startGuardedWithTimeouts(t, budget.Listener{Connections: 8}, 50*time.Millisecond, 50*time.Millisecond)
+		if bytes.Contains(sent, []byte("/wait")) {
+			return
+		}
+		c := s.dial()
+		_, _ = c.Write(sent)
+		_ = c.Close()
+		status, _ := s.dial().send("/", length(1), "x").receive()
+		s.expect.Expect(status).To(gomega.Equal(http.StatusOK))
+		s.expectNothingHeld()
+	})
+}
+
 // Guards against a document that takes many times its size when it is decoded.
 func TestDocumentsThatGrow(t *testing.T) {
 	s := startGuarded(t, budget.Listener{Connections: 4})
