--- a/internal/connection/budget/bytes.go
+++ b/internal/connection/budget/bytes.go
@@ -67,10 +67,12 @@
 	return Waiting
 }
 
-// FitsWithoutGarbage reports whether n more bytes could be granted to a class if all garbage were collected.
-func (b *Budget) FitsWithoutGarbage(class Class, n int) bool {
-	used := b.used[Callers] + b.used[Reserved]
-	return used+n <= b.config.Bytes && (class != Callers || b.used[Callers]+n <= b.limit(Callers))
+// Collectable reports whether a garbage collection would make room for n more bytes of a class, and is worth it: a few bytes
+// of garbage do not start one for a small request, or there would be one for each.
+func (b *Budget) Collectable(class Class, n int) bool {
+	least := b.limit(Callers) / collectedShare
+	fits := b.used[Callers]+b.used[Reserved]+n <= b.config.Bytes && (class != Callers || b.used[Callers]+n <= b.limit(Callers))
+	return fits && b.Garbage() > 0 && (n >= least || b.Garbage() >= least)
 }
 
 // Grow requests n bytes for a connection that already has some. It is granted at once or not at all, because connections
@@ -151,6 +153,10 @@
 	return true
 }
 
+// Grant grants what waited behind the request of a connection that Open, Evict or Observe has selected to be closed, and
+// returns the connections whose requests are granted.
+func (b *Budget) Grant() []ID { return b.grantWaiting() }
+
 // grantWaiting grants the requests that wait, the reserved ones first. Within a class no request overtakes another, so
 // that large ones are not starved.
 func (b *Budget) grantWaiting() []ID {
--- a/internal/connection/budget/memory.go
+++ b/internal/connection/budget/memory.go
@@ -9,6 +9,9 @@
 	// collectionInterval is the time between two garbage collections that are requested while too much is in use, because a
 	// process that refuses requests may not start one for minutes.
 	collectionInterval = time.Second
+	// collectedShare divides the bytes of callers: the least size of the garbage, or of the request, for which a garbage
+	// collection is worth it.
+	collectedShare = 16
 )
 
 // Observation is the memory of the Go runtime at one time.
@@ -45,9 +48,14 @@
 	return action
 }
 
-// WaitsForGarbage reports whether a request waits for bytes that a garbage collection may free.
+// WaitsForGarbage reports whether a garbage collection is worth it for the next request of a class that waits for bytes.
 func (b *Budget) WaitsForGarbage() bool {
-	return len(b.queues[Callers])+len(b.queues[Reserved]) > 0 && b.Garbage() > 0
+	for class, queue := range b.queues {
+		if len(queue) > 0 && b.Collectable(Class(class), queue[0].bytes) {
+			return true
+		}
+	}
+	return false
 }
 
 // Pressed reports whether too much memory is in use.
--- a/internal/process/httpapi/body.go
+++ b/internal/process/httpapi/body.go
@@ -308,13 +308,13 @@
 	return nil
 }
 
-// grow obtains more bytes for a connection. If only garbage keeps them from it, the garbage is collected first.
+// grow obtains more bytes for a connection. If garbage keeps them from it, the garbage is collected first.
 func (g *Guard) grow(c *guardedConn, class budget.Class, n int) bool {
 	for collections := 0; ; collections++ {
 		g.mu.Lock()
-		granted, possible := g.budget.Grow(c.id, class, n), g.budget.FitsWithoutGarbage(class, n)
+		granted, collectable := g.budget.Grow(c.id, class, n), g.budget.Collectable(class, n)
 		g.mu.Unlock()
-		if granted || !possible || collections == maxCollections {
+		if granted || !collectable || collections == maxCollections {
 			return granted
 		}
 		g.collect()
--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -146,6 +146,7 @@
 // first byte on and also before they are accepted, where the system would let them grow to megabytes.
 func (s *Server) Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{}
+	config.SetMultipathTCP(false) // its subflows would have buffers of their own
 	if size := s.guard.receiveBytes; size > 0 {
 		config.Control = func(_, _ string, raw syscall.RawConn) error {
 			return control(raw, func(descriptor int) error {
@@ -288,11 +289,13 @@
 	}
 }
 
-// takeVictim returns the connection with an ID, or nil, and ends its wait for bytes. g.mu must be held.
+// takeVictim returns the connection with an ID, or nil, ends its wait for bytes and wakes those who waited behind it. g.mu
+// must be held.
 func (g *Guard) takeVictim(id budget.ID) *guardedConn {
 	victim := g.connections[id]
 	if victim != nil {
 		victim.endWait(false)
+		g.wake(g.budget.Grant())
 	}
 	return victim
 }
