--- a/internal/process/httpapi/headers.go
+++ b/internal/process/httpapi/headers.go
@@ -16,9 +16,11 @@
 	parsedHeaderBytes = 130
 	// maxAddressBytes limits the path and query of a request, of which the HTTP library keeps several copies.
 	maxAddressBytes = 2 << 10
-	// smallHeaderBytes is the size up to which headers are part of what a connection costs. Larger ones need a grant, and are
-	// dropped with their buffers after the request: the library would keep the longest value of each position.
+	// smallHeaderBytes is the size up to which headers are part of what a connection costs. Larger ones need a grant.
 	smallHeaderBytes = 1 << 10
+	// keptHeaderBytes is the size up to which the buffers of headers are kept for the next request. The library keeps the
+	// longest value of each position: at most some 30 KB with this size.
+	keptHeaderBytes = 512
 	// refusedAddress replaces an address over the limit. No path of a listener equals it.
 	refusedAddress = "*"
 )
@@ -68,9 +70,9 @@
 	return errOverloaded(string(budget.NoBytes))
 }
 
-// dropHeaders drops large headers of a request, with the buffers that the library would keep for the next ones.
+// dropHeaders drops headers above keptHeaderBytes with their buffers.
 func dropHeaders(ctx *fasthttp.RequestCtx) {
-	if len(ctx.Request.Header.RawHeaders()) > smallHeaderBytes {
+	if len(ctx.Request.Header.RawHeaders()) > keptHeaderBytes {
 		ctx.Request.Header = fasthttp.RequestHeader{}
 	}
 }
