--- a/internal/process/httpapi/guard.go
+++ b/internal/process/httpapi/guard.go
@@ -1,12 +1,8 @@
 package httpapi
 
 import (
-	"context"
 	"io"
 	"net"
-	"runtime"
-	"runtime/debug"
-	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,7 +12,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"pollenpaddle/internal/connection/budget"
 	"pollenpaddle/internal/process/logging"
@@ -29,14 +24,6 @@
 	defaultHeaderTimeout = 10 * time.Second
 	// acceptRetryInterval is the pause after a connection could not be accepted for lack of descriptors or memory.
 	acceptRetryInterval = 20 * time.Millisecond
-	// grownConnections and grownBytes are the use from which on memory is returned to the system afterwards: more than 300
-	// callers, the number that is normal for the smallest entry, and more than a configuration of 4 MiB with its decoding.
-	grownConnections = 512
-	grownBytes       = 8 << 20
-	// returnDelay is how long after that memory is returned: longer than fasthttp keeps an idle goroutine (10 s).
-	returnDelay = 15 * time.Second
-	// observationInterval is the least time between two observations of the memory in use.
-	observationInterval = 50 * time.Millisecond
 	// lingerTime and lingerBytes bound what is read and dropped of a refused body, so that the response is not lost by a
 	// reset of the connection.
 	lingerTime  = 500 * time.Millisecond
@@ -142,48 +129,6 @@
 	return s, nil
 }
 
-// Listen returns a listener at an address. Its connections have receive buffers of the size that the budget counts, from the
-// first byte on and also before they are accepted, where the system would let them grow to megabytes.
-func (s *Server) Listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{}
-	config.SetMultipathTCP(false) // its subflows would have buffers of their own
-	if size := s.guard.receiveBytes; size > 0 {
-		config.Control = func(_, _ string, raw syscall.RawConn) error {
-			return control(raw, func(descriptor int) error {
-				// The system doubles the value to allow for its own overhead.
-				return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, size/2)
-			})
-		}
-	}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if err := limitBacklog(listener, budget.Backlog(s.config.Limits.Connections)); err != nil {
-		return nil, errors.CombineErrors(err, listener.Close())
-	}
-	return listener, nil
-}
-
-// limitBacklog bounds the connections that wait to be accepted.
-func limitBacklog(listener net.Listener, connections int) error {
-	conn, ok := listener.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "get the descriptor of the listener")
-	}
-	return control(raw, func(descriptor int) error { return unix.Listen(descriptor, connections) })
-}
-
-func control(raw syscall.RawConn, operation func(descriptor int) error) error {
-	var err error
-	controlErr := raw.Control(func(descriptor uintptr) { err = operation(int(descriptor)) })
-	return errors.Wrap(errors.CombineErrors(controlErr, err), "set an option of the listener")
-}
-
 // Serve serves the connections of a listener until it is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	var guarded net.Listener = guardedListener{listener, s}
@@ -306,51 +251,6 @@
 	c.server.report(logging.ConnectionsClosed, cause)
 }
 
-// observeMemory observes the memory in use, at most once in observationInterval. g.mu must be held.
-func (g *Guard) observeMemory() {
-	if g.now()-g.observed >= observationInterval {
-		g.observeNow()
-	}
-}
-
-// observeNow carries out what the memory in use requires. g.mu must be held.
-func (g *Guard) observeNow() {
-	g.observed = g.now()
-	samples := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}, {Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/heap/stacks:bytes"}}
-	metrics.Read(samples)
-	action := g.budget.Observe(g.observed, budget.Observation{
-		Collections: samples[0].Value.Uint64(), Live: int64(samples[1].Value.Uint64() + samples[2].Value.Uint64()),
-	})
-	g.wake(action.Granted)
-	for _, id := range action.Close {
-		if victim := g.takeVictim(id); victim != nil {
-			go victim.closeToMakeRoom(string(budget.NoMemory))
-		}
-	}
-	if action.Collect && g.collection == nil {
-		go g.collect()
-	}
-}
-
-// collect collects garbage and observes the result. If a collection is in progress already, it waits for the end of that.
-func (g *Guard) collect() {
-	g.mu.Lock()
-	if ended := g.collection; ended != nil {
-		g.mu.Unlock()
-		<-ended
-		return
-	}
-	ended := make(chan struct{})
-	g.collection = ended
-	g.mu.Unlock()
-	runtime.GC()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.collection = nil
-	close(ended)
-	g.observeNow() // may start another one
-}
-
 // guardedConn is a connection that counts in the budget until it is closed.
 type guardedConn struct {
 	net.Conn
@@ -469,19 +369,3 @@
 	g.wake(g.budget.Idle(g.now(), c.id))
 	g.returnMemory()
 }
-
-// returnMemory schedules the return of memory to the system after many clients or large bodies are gone. Without it, the
-// memory is kept for minutes, because a process without load does not collect garbage. g.mu must be held.
-func (g *Guard) returnMemory() {
-	if !g.grown || len(g.connections) >= grownConnections/4 {
-		return
-	}
-	if callers, reserved, _ := g.budget.Bytes(); callers+reserved >= grownBytes/4 {
-		return
-	}
-	g.grown = false
-	time.AfterFunc(returnDelay, func() {
-		runtime.GC() // buffers in pools are kept for one collection
-		debug.FreeOSMemory()
-	})
-}
