--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -28,6 +28,7 @@
 	"frozen-zone":     playFrozenZone,
 	"restarted-front": playRestartedFront,
 	"killed-agent":    playKilledAgent,
+	"late-request":    playLateRequest,
 }
 
 func main() { os.Exit(run()) }
