--- a/review/rig-3/installation.go
+++ b/review/rig-3/installation.go
@@ -307,7 +307,7 @@
 func (i *Installation) configure() error {
 	deadline := time.Now().Add(20 * time.Second)
 	for k := 0; ; k++ {
-		status, _ := exchange(i.client, http.MethodPost, i.address(i.cores[k%len(i.cores)]), "", "/api/Config.Put", i.configuration(1), nil)
+		status, _ := exchange(i.client, http.MethodPost, i.address(i.cores[k%len(i.cores)]), "", names.Put, i.configuration(1), nil)
 		if status == http.StatusOK {
 			break
 		}
@@ -318,7 +318,7 @@
 	}
 	for _, front := range i.fronts {
 		for {
-			status, _ := exchange(i.client, http.MethodGet, net.JoinHostPort(front.ip, fmt.Sprint(i.readyPort)), "", "/api/ready", nil, nil)
+			status, _ := exchange(i.client, http.MethodGet, net.JoinHostPort(front.ip, fmt.Sprint(i.readyPort)), "", names.Ready, nil, nil)
 			if status == http.StatusOK {
 				break
 			}
@@ -355,7 +355,7 @@
 	client := &http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
 	i.record.Logf("requester: POST %s to %s, waits %v", j.id, front.name, wait)
 	status, body := exchange(client, http.MethodPost, i.address(front), hostName, pathPrefix+j.id, j.body(), map[string]string{
-		"Pollenpaddle-Deadline-Ms": fmt.Sprint(wait.Milliseconds()),
+		names.Deadline: fmt.Sprint(wait.Milliseconds()),
 	})
 	i.record.Logf("requester: POST %s to %s -> %d %s", j.id, front.name, status, strings.TrimSpace(body))
 	return status
--- a/review/rig-3/late_request.go
+++ b/review/rig-3/late_request.go
@@ -60,8 +60,8 @@
 // send sends a job on an open connection.
 func (i *Installation) send(conn net.Conn, front *Process, j Job) {
 	i.record.Logf("requester: POST %s to %s on an open connection, waits %v", j.id, front.name, requesterWait)
-	_, _ = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nPollenpaddle-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		pathPrefix, j.id, hostName, requesterWait.Milliseconds(), len(j.body()), j.body())
+	_, _ = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		pathPrefix, j.id, hostName, names.Deadline, requesterWait.Milliseconds(), len(j.body()), j.body())
 }
 
 // await reads the response to the last request on an open connection; 0 if there is none in time.
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -29,6 +29,7 @@
 	"restarted-front": playRestartedFront,
 	"killed-agent":    playKilledAgent,
 	"late-request":    playLateRequest,
+	"stuck-front":     playStuckFront,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig-3/minion.go
+++ b/review/rig-3/minion.go
@@ -158,20 +158,20 @@
 func (m *Minion) execute(request *http.Request, o order) (int, map[string]any) {
 	status, body := http.StatusOK, map[string]any{"born": m.born}
 	switch {
-	case request.Header.Get("Pollenpaddle-Expect-Instance") != m.id:
+	case request.Header.Get(names.Expect) != m.id:
 		status = http.StatusMisdirectedRequest
 	case o.Token < m.token:
 		status, body["reason"] = http.StatusConflict, "fence"
 	default:
 		m.token = o.Token
 		switch request.URL.Path {
-		case "/api/run-start":
+		case names.Start:
 			if reason := m.startRun(o); reason != "" {
 				status, body["reason"] = http.StatusConflict, reason
 			}
-		case "/api/run-stop":
+		case names.Stop:
 			m.stopRun(o)
-		case "/api/hold":
+		case names.Hold:
 			m.hold(o, body)
 		default:
 			status = http.StatusNotFound
@@ -254,7 +254,7 @@
 			serviceName, m.address, m.side.zone, m.state, m.steady.Milliseconds(), m.sequence, m.born)
 		id := m.id
 		m.mu.Unlock()
-		status, _ := exchange(client, http.MethodPost, address, "", "/api/Instances.Heartbeat/"+id, []byte(text), nil)
+		status, _ := exchange(client, http.MethodPost, address, "", names.Heartbeat+id, []byte(text), nil)
 		pause := heartbeatEvery
 		if status != http.StatusOK {
 			pause = 200 * time.Millisecond
