--- a/review/rig-3/frozen_zone.go
+++ b/review/rig-3/frozen_zone.go
@@ -16,7 +16,7 @@
 	taskTime      = 1200 * time.Millisecond
 )
 
-// playFrozenZone suspends all machines of one zone while a front there has a job with tasks on minions of its zone.
+// playFrozenZone suspends a front and a side machine of its zone at the same moment, while a job of the front has tasks there.
 func playFrozenZone(i *Installation, trouble bool) (verdict, error) {
 	i.setTaskTime(taskTime)
 	if status := i.post(i.fronts[0], Job{id: newID(), count: 6, cpu: 6200, estimate: taskTime, spec: "warm-up"}, requesterWait); status != http.StatusOK {
@@ -27,7 +27,7 @@
 	go func() { first <- i.post(i.fronts[0], job, requesterWait) }()
 	time.Sleep(200 * time.Millisecond)
 	if trouble {
-		i.freezeZone(zoneNames[0], freezeTime)
+		i.freezeTogether(freezeTime, i.fronts[0], i.sides[0])
 	}
 	status := <-first
 	for attempt := 1; mayResend(status) && attempt <= 4; attempt++ {
@@ -38,22 +38,16 @@
 	return i.judgeTwice(status), nil
 }
 
-// freezeZone suspends all machines of a zone at once and resumes them after a time.
-func (i *Installation) freezeZone(zone string, lasts time.Duration) {
-	var frozen []*Process
-	for _, p := range i.processes() {
-		if p.zone == zone {
-			frozen = append(frozen, p)
-		}
-	}
-	for _, p := range frozen {
+// freezeTogether suspends machines at the same moment and resumes them after a time.
+func (i *Installation) freezeTogether(lasts time.Duration, machines ...*Process) {
+	for _, p := range machines {
 		p.suspend()
+		i.record.Logf("platform: %s stands still", p.name)
 	}
-	i.record.Logf("platform: zone %s stands still", zone)
 	time.AfterFunc(lasts, func() {
-		for _, p := range frozen {
+		for _, p := range machines {
 			p.resume()
+			i.record.Logf("platform: %s goes on", p.name)
 		}
-		i.record.Logf("platform: zone %s goes on", zone)
 	})
 }
