scheduler, jobcheck: ask the other entries before a delayed submission is started

Its request was sent to an entry whose VM was suspended and arrived with a retransmission; the caller had stopped waiting, left its connection open and sent the job to another entry.

Cause: the entry decided from the arrival of the request and from the state of the connection. Neither says how long the request was under way. It waited 150 ms for the end of the connection, which came later or never. The same fault shows without the 150 ms: a request that arrives before the repetition starts here, and the repetition starts beside it.

The job is also given up when a session between entries ends and after a pause.

Why it works: the others know whether they have the job, and what they do not have yet they cannot start without asking. Answers count only while the session is open and the list of entries is as new as theirs.

--- a/internal/connection/wire/messages.go
+++ b/internal/connection/wire/messages.go
@@ -74,6 +74,8 @@
 	// FeatureCancellations means that the sender, an entry, understands the messages of cancellation.go, or, an agent,
 	// JobCancellation and CancellationRecords.
 	FeatureCancellations Feature = 1 << 9
+	// FeatureJobChecks means that the sender, an entry, understands the messages of jobcheck.go.
+	FeatureJobChecks Feature = 1 << 10
 )
 
 // Closing reports that the sender is draining and accepts no new work. It does not close the
--- a/internal/process/entry/cancellation.go
+++ b/internal/process/entry/cancellation.go
@@ -13,6 +13,7 @@
 	"pollenpaddle/internal/model/run"
 	"pollenpaddle/internal/process/logging"
 	"pollenpaddle/internal/request/cancellation"
+	"pollenpaddle/internal/request/jobcheck"
 	"pollenpaddle/internal/request/scheduler"
 	"pollenpaddle/internal/version/catalog"
 )
@@ -260,6 +261,7 @@
 		switch {
 		case !isAgent:
 			e.stepCancellations(cancellation.PeerConnected{Entry: peerOf(s), EarlierRelease: !supported})
+			e.stepJobChecks(jobcheck.PeerConnected{Entry: peerOf(s), EarlierRelease: !s.Supports(wire.FeatureJobChecks)})
 		case supported:
 			for _, message := range c.machine.Told(clock.SinceBoot()) {
 				s.Send(message)
--- a/internal/process/entry/events.go
+++ b/internal/process/entry/events.go
@@ -107,7 +107,7 @@
 	next := time.Duration(-1)
 	for _, source := range []func() (time.Duration, bool){
 		e.dispatcher.NextWake, e.claimant.NextWake, e.tracker.NextWake, e.nextQueryExpiry, e.restartable.scheduler.NextWake,
-		e.nextCancellationWake,
+		e.nextCancellationWake, e.restartable.checks.machine.NextWake,
 	} {
 		if due, ok := source(); ok {
 			if delay := max(0, due-at.Boot); next < 0 || delay < next {
@@ -134,6 +134,7 @@
 	e.step(dispatch.Configured{State: state})
 	e.stepScheduler(scheduler.ZonesChanged{OutOfService: state.ZonesOut()})
 	e.configureCancellations(state)
+	e.configureJobChecks(state)
 	e.updateDialers(state.Entries)
 	e.status.configured.Store(true)
 }
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -10,6 +10,7 @@
 	"pollenpaddle/internal/request/cancellation"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
+	"pollenpaddle/internal/request/jobcheck"
 	"pollenpaddle/internal/request/scheduler"
 	"pollenpaddle/internal/request/tracker"
 )
@@ -31,6 +32,7 @@
 	Cancellations cancellation.Stats
 	// CancelledSubmissions counts the submissions that were answered as cancelled.
 	CancelledSubmissions uint64
+	JobChecks            jobcheck.Stats
 }
 
 func (e *Entry) snapshot() *Snapshot {
@@ -40,6 +42,7 @@
 		Registrar: e.registrar.Stats(), Dispatch: e.dispatcher.Dump(),
 		Restartable:   e.restartable.scheduler.Dump(clock.SinceBoot()),
 		Cancellations: e.restartable.cancellations.machine.Stats(), CancelledSubmissions: e.restartable.cancellations.answered,
+		JobChecks: e.restartable.checks.machine.Stats(),
 	}
 	if e.catalog != nil {
 		s.Revision = e.catalog.Revision
@@ -170,6 +173,10 @@
 	{"cancellations_refused_total", "Requests to cancel a restartable job that were not acknowledged.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Refused) }},
 	{"cancelled_submissions_total", "Submissions of restartable jobs that were answered as cancelled.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.CancelledSubmissions) }},
 	{"cancellation_questions_total", "Times that the entry asked the others for cancellations, after a start or a gap.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.Cancellations.Questions) }},
+	{"job_checks_total", "Submissions that may have been delayed, for which the entry asked the others whether they have the job.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.JobChecks.Checks) }},
+	{"job_recalls_total", "Submissions for which the entry asked another one to give the job up.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.JobChecks.Recalls) }},
+	{"job_checks_refused_total", "Submissions that were not started after a check or recall.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.JobChecks.Refused) }},
+	{"jobs_left_to_others_total", "Jobs that were started after a check and given up for another entry.", prometheus.CounterValue, func(s *Snapshot) float64 { return float64(s.JobChecks.GivenUp) }},
 	{"entries", "Entries with an open session.", prometheus.GaugeValue, func(s *Snapshot) float64 { return float64(len(s.Entries)) }},
 }
 
--- a/internal/process/entry/peers.go
+++ b/internal/process/entry/peers.go
@@ -15,6 +15,7 @@
 	"pollenpaddle/internal/request/cancellation"
 	"pollenpaddle/internal/request/claim"
 	"pollenpaddle/internal/request/dispatch"
+	"pollenpaddle/internal/request/jobcheck"
 	"pollenpaddle/internal/request/scheduler"
 	"pollenpaddle/internal/version/catalog"
 )
@@ -55,7 +56,7 @@
 	case wire.RoleEntry:
 		logging.Log(e.config.Logger, logging.EntryPeerConnected, zap.String("entry", s.Peer().ID), zap.Uint64("incarnation", s.Peer().Incarnation))
 		e.peers[peerOf(s)] = s
-		s.Send(&wire.Pong{Features: wire.FeatureCapacities | wire.FeatureCrashes | wire.FeatureUnresolved | wire.FeatureCancellations})
+		s.Send(&wire.Pong{Features: wire.FeatureCapacities | wire.FeatureCrashes | wire.FeatureUnresolved | wire.FeatureCancellations | wire.FeatureJobChecks})
 		e.restartable.cancellations.unannounced[s] = struct{}{}
 		e.peerConnected(peerOf(s))
 	}
@@ -78,6 +79,7 @@
 			delete(e.peers, peerOf(s))
 			e.stepScheduler(scheduler.PeerDisconnected{Entry: peerOf(s)})
 			e.stepCancellations(cancellation.PeerDisconnected{Entry: peerOf(s)})
+			e.stepJobChecks(jobcheck.PeerDisconnected{Entry: peerOf(s)})
 			e.peerDisconnected(peerOf(s))
 		}
 	}
@@ -102,7 +104,7 @@
 	}
 	from := peerOf(s)
 	for _, message := range messages {
-		if e.receiveCancellation(from, message) {
+		if e.receiveCancellation(from, message) || e.receiveJobCheck(from, message) {
 			continue
 		}
 		switch m := message.(type) {
--- a/internal/process/entry/restartable.go
+++ b/internal/process/entry/restartable.go
@@ -76,6 +76,7 @@
 	unresolved      *wire.UnresolvedJobs
 	unresolvedSent  map[*session.Session]*wire.UnresolvedJobs // the report that each peer has last got
 	cancellations   cancellations
+	checks          jobChecks
 }
 
 func newRestartableJobs(identity session.Identity, overloadOrder string) restartableJobs {
@@ -84,6 +85,7 @@
 		callers:   map[string][]chan<- scheduler.Decided{}, verdicts: map[string]keptVerdict{},
 		capacities: &wire.Capacities{}, capacitiesSent: map[*session.Session]*wire.Capacities{},
 		unresolvedSent: map[*session.Session]*wire.UnresolvedJobs{}, cancellations: newCancellations(identity.ID),
+		checks: newJobChecks(identity.ID),
 	}
 }
 
@@ -162,15 +164,19 @@
 		event.caller <- known.decided
 		return
 	}
-	if !e.admitSubmission(event) {
-		return
+	if e.admitSubmission(event) && !e.awaitCheck(event) {
+		e.startRestartable(event)
 	}
+}
+
+func (e *Entry) startRestartable(event restartableSubmitted) {
+	id := event.submission.ID
 	e.restartable.callers[id] = append(e.restartable.callers[id], event.caller)
 	e.stepScheduler(scheduler.Submitted{Submission: event.submission})
 }
 
 func (e *Entry) abandonRestartable(event restartableAbandoned) {
-	if e.forgetHeld(event.caller) {
+	if e.forgetHeld(event.caller) || e.forgetChecked(event) {
 		return
 	}
 	left := slices.DeleteFunc(e.restartable.callers[event.job], func(caller chan<- scheduler.Decided) bool { return caller == event.caller })
@@ -352,6 +358,7 @@
 	now := clock.SinceBoot()
 	j := &e.restartable
 	e.wakeCancellations(now)
+	e.wakeJobChecks(now)
 	if due, ok := j.scheduler.NextWake(); ok && due <= now {
 		e.stepScheduler(scheduler.Tick{})
 	}
--- a/internal/process/entry/submit.go
+++ b/internal/process/entry/submit.go
@@ -255,7 +255,8 @@
 // checkDrained completes a drain when no job, waiter or HTTP request is left. The HTTP server flushes
 // the responses of ended handlers before it closes their connections.
 func (e *Entry) checkDrained() {
-	if !e.status.draining.Load() || e.tracker.OpenJobs() > 0 || len(e.waiters) > 0 || e.restartable.scheduler.OpenJobs() > 0 || e.status.activeRequests.Load() > 0 {
+	if !e.status.draining.Load() || e.tracker.OpenJobs() > 0 || len(e.waiters) > 0 || e.restartable.scheduler.OpenJobs() > 0 ||
+		e.restartable.checks.heldCount > 0 || e.status.activeRequests.Load() > 0 {
 		return
 	}
 	select {
--- a/internal/process/logging/events.go
+++ b/internal/process/logging/events.go
@@ -129,6 +129,10 @@
 		"As event 1372, but a majority of the entries did not answer within a second, or the gap was longer than 25 s, so a cancellation may be unknown. The jobs from before the gap were given up, and their callers got 503 if nothing had run and 504 otherwise. Check the connections between the entries.")
 	CancelledJobSubmitted = define(1374, zapcore.InfoLevel, "cancelled job submitted",
 		"A job was submitted after its cancellation had been acknowledged, for example again by a caller without a response. It is not run, and the caller gets 410.")
+	DelayedJobRefused = define(1380, zapcore.InfoLevel, "submission of a job refused that another entry may have",
+		"The request may have been delayed while this entry was stalled or cut off, so the entry has asked the others for the job. One of them has it, or not every entry has answered within 0.5 s. The caller got 504. If this happens often, look for pauses of this entry's VM and check the connections between the entries.")
+	DelayedJobGivenUp = define(1381, zapcore.InfoLevel, "job given up for another entry",
+		"The job was started although its request may have been delayed. Its caller has submitted it to another entry meanwhile, or the session with another entry has ended or was opened, so that one may not know that the job runs here.")
 	RunUnsuccessful = define(1353, zapcore.InfoLevel, "run ended without success",
 		"A run of a restartable job failed, was lost, stopped or refused; the task is run again unless its job has a verdict.")
 )
--- a/internal/request/scheduler/cancellation.go
+++ b/internal/request/scheduler/cancellation.go
@@ -23,6 +23,17 @@
 	return Decided{Job: s.ID, Verdict: Rejected, Error: err.WithRetryAfter(time.Second), Summary: JobSummary{Queue: s.Queue, FirstRun: -1}}
 }
 
+// ExpiredOnSubmission returns the verdict on a submission of a job that another entry may have.
+func ExpiredOnSubmission(s *Submission, err *failure.Error) Decided {
+	return Decided{Job: s.ID, Verdict: Expired, Error: err, Summary: JobSummary{Queue: s.Queue, FirstRun: -1}}
+}
+
+// UncheckedOnSubmission returns the verdict on a submission that is not checked because too many others wait for a check.
+func UncheckedOnSubmission(s *Submission) Decided {
+	return ExpiredOnSubmission(s, failure.New(failure.MayHaveRun, "resubmit the job",
+		"the request may have been delayed, and too many others wait for the answers of other entries").WithRetryAfter(time.Second))
+}
+
 // OpenJobIDs returns the ids of the jobs without a verdict or with an active run, in order of arrival.
 func (m *Machine) OpenJobIDs() []string {
 	ids := make([]string, 0, len(m.jobs))
--- a/internal/request/scheduler/events.go
+++ b/internal/request/scheduler/events.go
@@ -38,8 +38,11 @@
 	// WaitingSince is the time, on the clock of Step, from which Wait and the objective count. Zero stands
 	// for the time of the submission.
 	WaitingSince time.Duration
-	Spec         string // passed to the worker unchanged
-	Steps        []Step
+	// Delayed is set if the submission may have been delayed on its way, so that WaitingSince may be too late and another
+	// entry may have the job; see package jobcheck.
+	Delayed bool
+	Spec    string // passed to the worker unchanged
+	Steps   []Step
 }
 
 // Event is an input of the machine.
--- a/internal/request/scheduler/job.go
+++ b/internal/request/scheduler/job.go
@@ -151,7 +151,7 @@
 	j.summary = JobSummary{Queue: s.Queue, Tasks: len(j.tasks), Objective: objective, FirstRun: -1}
 	m.setCost(now, j, spare)
 	m.jobs[s.ID] = j
-	if now >= j.deadline {
+	if s.WaitOver(now) {
 		// Its caller may have submitted it to another entry.
 		j.summary.Refusal.Rule = RefusedAfterWait
 		m.setVerdict(now, j, Rejected, failure.New(failure.Unavailable, "submit the job again if its result is still wanted",
@@ -197,6 +197,9 @@
 	return s.waitStart(now) + max(wait-responseMargin, wait/2)
 }
 
+// WaitOver reports whether a job that is submitted at now comes too late for its caller.
+func (s *Submission) WaitOver(now time.Duration) bool { return now >= s.deadline(now) }
+
 // admissionError returns why a job cannot be accepted at present, or nil. The reason is also noted in its summary.
 func (m *Machine) admissionError(now time.Duration, j *jobState) *failure.Error {
 	if !m.serviceAvailable(now, j.submission) {
--- a/internal/request/scheduler/machine.go
+++ b/internal/request/scheduler/machine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"pollenpaddle/internal/connection/wire"
+	"pollenpaddle/internal/failure"
 	"pollenpaddle/internal/request/runner"
 )
 
@@ -97,11 +98,14 @@
 func (m *Machine) Step(now time.Duration, event Event) []Action {
 	clear(m.actions)
 	m.actions = m.actions[:0]
-	m.holdJobsAfterPause(now)
+	paused := m.holdJobsAfterPause(now)
 	m.now = now
 	if m.firstStep == 0 {
 		m.firstStep = now
 	}
+	if paused {
+		m.giveUpDelayed(now)
+	}
 	m.sortWaiting(now)
 	m.expireAgents(now)
 	m.checkJobs(now)
@@ -143,12 +147,24 @@
 	return m.actions
 }
 
-// holdJobsAfterPause holds the open jobs back if this process was paused. Open jobs are checked every checkInterval, so
-// without a pause steps are never that far apart.
-func (m *Machine) holdJobsAfterPause(now time.Duration) {
-	if len(m.jobs) > 0 && now-m.now >= pauseThreshold {
+// holdJobsAfterPause holds the open jobs back if this process was paused, and reports whether it was. Open jobs are checked
+// every checkInterval, so without a pause steps are never that far apart.
+func (m *Machine) holdJobsAfterPause(now time.Duration) bool {
+	paused := len(m.jobs) > 0 && now-m.now >= pauseThreshold
+	if paused {
 		m.heldArrival, m.heldUntil = m.arrival, now+CallerCheckTime
 	}
+	return paused
+}
+
+// giveUpDelayed gives up the jobs whose callers may have stopped waiting before the pause: the other entries may have
+// forgotten that this one runs them.
+func (m *Machine) giveUpDelayed(now time.Duration) {
+	for _, j := range m.sortedJobs() {
+		if j.submission.Delayed && !j.hasVerdict {
+			m.setVerdict(now, j, Expired, failure.New(failure.MayHaveRun, "resubmit the job", "the entry was paused, and the caller may have submitted the job to another one"))
+		}
+	}
 }
 
 // held reports whether the job gets no runs because its caller may have resubmitted it during a pause, because it may have
@@ -224,6 +240,9 @@
 // OpenJobs returns the number of jobs without a verdict or with an active run.
 func (m *Machine) OpenJobs() int { return len(m.jobs) }
 
+// Knows reports whether the job was submitted here and has no verdict yet or an active run.
+func (m *Machine) Knows(id string) bool { return m.jobs[id] != nil }
+
 // Owns reports whether the job was submitted here and has no verdict yet.
 func (m *Machine) Owns(id string) bool { return m.jobs[id] != nil && !m.jobs[id].hasVerdict }
 
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -407,6 +407,24 @@
 		}
 	})
 
+	// Guards against a second run of a job whose submission was delayed: its caller leaves its connection open and has
+	// submitted the job to another entry, which no longer knows of the run here.
+	ginkgo.It("is given up after a pause of its entry if its submission was delayed", func() {
+		c := newCluster(1, 6)
+		s := c.submission(jobClasses[1])
+		s.Wait, s.Delayed = 10*time.Second, true
+		c.submit(c.entries[0], s)
+		c.advance(100 * time.Millisecond)
+		c.entries[0].pausedUntil = c.now + 1500*time.Millisecond
+		c.advance(1500 * time.Millisecond)
+		orders := c.records[s.ID].Summary.Orders
+		c.advance(5 * time.Second)
+		gomega.Expect(c.records[s.ID].Verdict).To(gomega.Equal(scheduler.Expired))
+		gomega.Expect(c.records[s.ID].Error.Kind).To(gomega.Equal(failure.MayHaveRun))
+		gomega.Expect(c.records[s.ID].Summary.Orders).To(gomega.Equal(orders))
+		gomega.Expect(c.entries[0].machine.Knows(s.ID)).To(gomega.BeFalse())
+	})
+
 	// Guards against callers that wait in vain after their entry was paused.
 	ginkgo.It("is run again by an entry that was paused while its caller waits", func() {
 		c := newCluster(1, 6)
