runner: refuse an order of a run that another entry has ordered

Cause: handleOrder ignored an order whose run has a record, also a record of another entry. Run ids name the task and a number from 1, not the entry. The order got no outcome, and checkDrained waited for it.

Change: such an order is refused with Conflict. An order that its own entry repeats is ignored as before.

--- a/internal/request/runner/owners.go
+++ b/internal/request/runner/owners.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// handleOrder queues or refuses the runs of an order. Those that have a record already are ignored. template holds the
+// handleOrder queues or refuses the runs of an order. Those that the entry has ordered before are ignored. template holds the
 // predicted run time and the rank of each task, if they are known.
 func (m *Machine) handleOrder(now time.Duration, o *owner, order *wire.RunOrder, template record) {
 	o.lastOrder = order.Sequence
@@ -189,10 +189,15 @@
 	o.nextStateAt = min(o.nextStateAt, now+m.stateInterval(now, o))
 	for _, t := range order.Tasks {
 		id := order.ID(t)
-		if m.records[id] != nil {
+		known := m.records[id]
+		if known != nil && known.owner == o.id {
 			continue
 		}
-		if reason := m.refusalReason(now, o, id, order); reason != 0 {
+		reason := m.refusalReason(now, o, id, order)
+		if known != nil {
+			reason = cmp.Or(reason, run.Conflict)
+		}
+		if reason != 0 {
 			m.stats.count(run.Refused)
 			o.pendingEnds = append(o.pendingEnds, run.End{ID: id, Outcome: run.Refused, Reason: reason})
 			continue
--- a/internal/request/runner/owners_test.go
+++ b/internal/request/runner/owners_test.go
@@ -180,6 +180,29 @@
 	})
 })
 
+var _ = ginkgo.Describe("an order of a run that the agent has for another entry", func() {
+	// Guards against an order without an outcome: both entries number their runs from 1, and the job of the second one
+	// stays open for good, so that its process does not end at a shutdown.
+	ginkgo.It("is refused, and the run goes on", func() {
+		f := newFleet(2, 300*time.Millisecond)
+		first, second := f.entries[0], f.entries[1]
+		var refused []run.End
+		f.onMessage = func(send runner.Send) {
+			if ends, ok := send.Message.(*wire.RunEnds); ok && send.Entry == second {
+				refused = append(refused, ends.Ends...)
+			}
+		}
+		f.order(first, "0000000000000001")
+		f.advance(50 * time.Millisecond)
+		f.order(second, "0000000000000001")
+		f.order(first, "0000000000000001") // its own order again
+		f.advance(400 * time.Millisecond)
+		id := run.ID{Task: run.TaskID{Job: "0000000000000001"}, Number: 1}
+		gomega.Expect(refused).To(gomega.Equal([]run.End{{ID: id, Outcome: run.Refused, Reason: run.Conflict}}))
+		gomega.Expect(f.ends[first]).To(gomega.Equal(1))
+	})
+})
+
 var _ = ginkgo.Describe("the outcomes for an entry whose session was lost", func() {
 	// Guards against outcomes that are lost with a session, and against outcomes that are sent again with every
 	// session although the entry has received them.
