httpapi: a connection is quiet since it was established

Seen: in a test only.

Cause: the quiet time of an accepted connection began with its last data. The kernel also counts from the last data sent, which begins when the connection is established.

Evidence: TestConnectionAcceptedLate reported a time 247 ms after the connection before the change.

--- a/internal/process/httpapi/connection.go
+++ b/internal/process/httpapi/connection.go
@@ -23,8 +23,8 @@
 		return nil, err
 	}
 	tracked := &trackedConn{Conn: conn}
-	// The peer may have waited for this process to accept the connection.
-	tracked.quietSince.Store(int64(clock.SinceBoot() - TimeSinceLastData(conn)))
+	// The peer may have waited for this process to accept the connection, and its request may have been delayed meanwhile.
+	tracked.quietSince.Store(int64(clock.SinceBoot() - timeSinceEstablished(conn)))
 	return tracked, nil
 }
 
@@ -81,19 +81,32 @@
 // TimeSinceLastData returns the time since the kernel received the last data on a connection. It includes
 // time in which this process was stopped and could not read the data. It is zero if it is not known.
 func TimeSinceLastData(conn net.Conn) time.Duration {
+	info := tcpInfo(conn)
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// timeSinceEstablished returns the time since the kernel established a connection on which nothing was sent yet, or, if that
+// is not known, since it received the last data.
+func timeSinceEstablished(conn net.Conn) time.Duration {
+	info := tcpInfo(conn) // the time of the last data sent begins with the connection
+	return time.Duration(max(info.Last_data_sent, info.Last_data_recv)) * time.Millisecond
+}
+
+// tcpInfo returns what the kernel knows about a connection; zero values if it is closed or not a TCP connection.
+func tcpInfo(conn net.Conn) unix.TCPInfo {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0
+		return unix.TCPInfo{}
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return 0
+		return unix.TCPInfo{}
 	}
-	age := time.Duration(0)
-	_ = control.Control(func(descriptor uintptr) { // the age is not known if the connection is closed
+	var read unix.TCPInfo
+	_ = control.Control(func(descriptor uintptr) {
 		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			age = time.Duration(info.Last_data_recv) * time.Millisecond
+			read = *info
 		}
 	})
-	return age
+	return read
 }
