jobcheck: notes of an entry expire also when its session is replaced

A session can be replaced before its end is noticed. The end of a job that was sent on the old one may be lost then, and the note of the job would stay. The specs fail without the change.

--- a/internal/request/jobcheck/machine.go
+++ b/internal/request/jobcheck/machine.go
@@ -99,7 +99,7 @@
 		m.listed = slices.DeleteFunc(slices.Clone(e.Entries), func(id string) bool { return id == m.entry })
 		m.concludeAll()
 	case PeerConnected:
-		m.connect(e)
+		m.connect(now, e)
 	case PeerDisconnected:
 		m.disconnect(now, e.Entry)
 	case Received:
@@ -207,7 +207,7 @@
 	return failure.New(failure.MayHaveRun, "resubmit the job", "another entry has the job").WithRetryAfter(refusalRetryAfter)
 }
 
-func (m *Machine) connect(e PeerConnected) {
+func (m *Machine) connect(now time.Duration, e PeerConnected) {
 	if e.EarlierRelease {
 		m.earlier[e.Entry.EntryID] = true
 		m.concludeAll()
@@ -215,7 +215,9 @@
 	}
 	delete(m.earlier, e.Entry.EntryID)
 	m.peers[e.Entry] = true
-	m.giveUpAll() // the peer has lost its notes with an earlier session, or has none yet
+	// The peer gives up the jobs noted here, and may have sent the end of some on an earlier session. It checks others again.
+	m.expireNotes(now, e.Entry)
+	m.giveUpAll() // the peer has no notes, or they will expire
 	for _, c := range m.sortedChecks() {
 		if c.delayed {
 			delete(c.free, e.Entry.EntryID)
@@ -230,21 +232,27 @@
 		return
 	}
 	delete(m.peers, entry)
-	for job, n := range m.notes {
-		if n.entry == entry {
-			n.expiry = now + lossTimeout
-			m.notes[job] = n
-			if m.notesExpireAt == 0 {
-				m.notesExpireAt = n.expiry
-			}
-		}
-	}
+	m.expireNotes(now, entry)
 	for _, c := range m.checks {
 		delete(c.free, entry.EntryID)
 	}
 	m.giveUpAll()
 }
 
+// expireNotes lets the notes for an entry expire when its runs are over.
+func (m *Machine) expireNotes(now time.Duration, entry wire.Claimant) {
+	for job, n := range m.notes {
+		if n.entry != entry || n.expiry != 0 {
+			continue
+		}
+		n.expiry = now + lossTimeout
+		m.notes[job] = n
+		if m.notesExpireAt == 0 {
+			m.notesExpireAt = n.expiry
+		}
+	}
+}
+
 func (m *Machine) receive(now time.Duration, e Received) {
 	switch message := e.Message.(type) {
 	case *wire.JobCheck:
--- a/internal/request/jobcheck/machine_test.go
+++ b/internal/request/jobcheck/machine_test.go
@@ -209,6 +209,14 @@
 		gomega.Expect(f.step(jobcheck.Tick{})).To(gomega.Equal([]jobcheck.Action{jobcheck.Start{Job: "j"}}))
 		gomega.Expect(due - lost).To(gomega.BeNumerically("~", 2100*time.Millisecond, 100*time.Millisecond))
 
+		f = newFixture()
+		f.check(peerB, false, false)
+		f.step(jobcheck.PeerConnected{Entry: peerB}) // the end of the earlier session was not noticed
+		f.now += time.Second
+		gomega.Expect(f.Needed(f.now, "j", false)).To(gomega.BeTrue())
+		f.now += 2 * time.Second
+		gomega.Expect(f.Needed(f.now, "j", false)).To(gomega.BeFalse())
+
 		f = newFixture()
 		f.check(peerB, false, false)
 		f.step(jobcheck.PeerDisconnected{Entry: peerB})
