--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,14 @@
 # Tests that measure the memory of daemons under crowds of clients; each runs alone, after all others.
 CROWD_TESTS := TestClientsThatIgnoreLimits TestCrowdsOfSeveralKinds
 
+# Specs that take half of the time of their package with the race detector; each suite runs in a process of its own.
+LONG_SUITES := TestScheduler
+
 test: ## run all tests with the race detector
-	$(GO) test -race -count=1 -timeout 15m $(shell ./tools/known-red skip-flag $(CROWD_TESTS)) ./...
+	$(GO) test -race -count=1 -timeout 15m $(shell ./tools/known-red skip-flag $(CROWD_TESTS) $(LONG_SUITES)) ./...
+	for name in $(LONG_SUITES); do \
+		$(GO) test -race -count=1 -timeout 15m -run "^$$name\$$" $(shell ./tools/known-red skip-flag) ./internal/request/scheduler || exit 1; \
+	done
 	for name in $(CROWD_TESTS); do \
 		$(GO) test -race -count=1 -timeout 15m -p 1 -run "^$$name\$$" $(shell ./tools/known-red skip-flag) ./internal/system ./platform || exit 1; \
 	done
