--- a/internal/request/jobcheck/machine.go
+++ b/internal/request/jobcheck/machine.go
@@ -68,9 +68,9 @@
 	lastRound uint64
 	checks    map[string]*check // by job
 	rounds    map[uint64]*check
-	queue     []*check            // in order of their deadlines; some may have ended
-	running   map[string]struct{} // jobs started after the check of a delayed submission
-	notes     map[string]note     // by job
+	queue     []*check        // in order of their deadlines; some may have ended
+	running   map[string]bool // jobs started after the check of a delayed submission; true once given up
+	notes     map[string]note // by job
 	// notesExpireAt is when the first note expires; zero if none does.
 	notesExpireAt time.Duration
 	stats         Stats
@@ -81,7 +81,7 @@
 func New(entry string) *Machine {
 	return &Machine{
 		entry: entry, peers: map[wire.Claimant]bool{}, earlier: map[string]bool{}, checks: map[string]*check{},
-		rounds: map[uint64]*check{}, running: map[string]struct{}{}, notes: map[string]note{},
+		rounds: map[uint64]*check{}, running: map[string]bool{}, notes: map[string]note{},
 	}
 }
 
@@ -118,7 +118,7 @@
 
 // Needed reports whether a submission needs a check before it is started. The job must have no run at this entry.
 func (m *Machine) Needed(now time.Duration, job string, delayed bool) bool {
-	return delayed && len(m.voters()) > 0 || m.noted(now, job)
+	return delayed && len(m.respondents()) > 0 || m.noted(now, job)
 }
 
 // Running returns the jobs that were started after the check of a delayed submission and are not over, in a fixed order.
@@ -161,8 +161,8 @@
 	return slices.SortedFunc(maps.Values(m.checks), func(a, b *check) int { return cmp.Compare(a.round, b.round) })
 }
 
-// voters returns the ids of the entries whose answers a delayed submission needs. Entries of an earlier release give none.
-func (m *Machine) voters() []string {
+// respondents returns the ids of the entries whose answers a delayed submission needs. Entries of an earlier release give none.
+func (m *Machine) respondents() []string {
 	return slices.DeleteFunc(slices.Clone(m.listed), func(id string) bool { return m.earlier[id] })
 }
 
@@ -351,11 +351,11 @@
 		}
 		return
 	}
-	if m.revision < c.revision || slices.ContainsFunc(m.voters(), func(id string) bool { return !c.free[id] }) {
+	if m.revision < c.revision || slices.ContainsFunc(m.respondents(), func(id string) bool { return !c.free[id] }) {
 		return
 	}
 	m.remove(c)
-	m.running[c.job] = struct{}{}
+	m.running[c.job] = false
 	m.emit(Start{Job: c.job})
 }
 
@@ -385,6 +385,10 @@
 }
 
 func (m *Machine) giveUp(job string) {
+	if m.running[job] {
+		return
+	}
+	m.running[job] = true
 	m.stats.GivenUp++
 	m.emit(GiveUp{Job: job})
 }
